--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Targets for development, continuous integration and measurement.
+GO ?= go
+BIN := bin
+
+.PHONY: build test fmt vet staticcheck unit demo bench capacity clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+fmt:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+staticcheck:
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test -race -count=1 ./...
+
+test: fmt vet staticcheck unit
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/affinity/affinity.go
@@ -0,0 +1,79 @@
+// Package affinity places keys on weighted candidates by rendezvous hashing and computes
+// the load bound of an engine.
+//
+// A key ranks all candidates. When a candidate leaves, only the keys ranked first on it
+// move; when it returns, exactly those keys come back.
+package affinity
+
+import (
+	"math"
+	"sort"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+)
+
+// Candidate is one possible place for a key.
+type Candidate struct {
+	// ID identifies the candidate. It must be the same on every instance.
+	ID string
+	// Weight is the candidate's share of keys relative to the others. Candidates with a
+	// weight of zero or less rank last.
+	Weight float64
+}
+
+// Seed returns the hash of a candidate's ID, for use with Score.
+func Seed(id string) uint64 {
+	return fleet.Hash("candidate", id)
+}
+
+// Score returns the rendezvous score of a key on a candidate. The highest score wins.
+// Scores follow -w/ln(u) with u uniform in (0,1), which gives each candidate a share of
+// keys proportional to its weight.
+func Score(key, seed uint64, weight float64) float64 {
+	if weight <= 0 {
+		return 0
+	}
+	// 53 bits fill a float64 mantissa; the half step keeps u inside (0,1).
+	u := (float64(mix(key^seed)>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
+
+// mix is the 64-bit finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Rank returns the indexes of candidates in descending order of score for key.
+func Rank(key uint64, candidates []Candidate) []int {
+	order := make([]int, len(candidates))
+	scores := make([]float64, len(candidates))
+	for i, c := range candidates {
+		order[i] = i
+		scores[i] = Score(key, Seed(c.ID), c.Weight)
+	}
+	sort.SliceStable(order, func(a, b int) bool {
+		if scores[order[a]] != scores[order[b]] {
+			return scores[order[a]] > scores[order[b]]
+		}
+		return candidates[order[a]].ID < candidates[order[b]].ID
+	})
+	return order
+}
+
+// Bound returns the most requests that an engine may have in flight once one more request
+// is admitted to its pool: ceil(c * (poolInFlight+1) * capacity / poolCapacity), at least 1.
+// It returns 0 for an engine or pool without capacity.
+func Bound(c float64, poolInFlight int, poolCapacity, capacity float64) int {
+	if poolCapacity <= 0 || capacity <= 0 {
+		return 0
+	}
+	share := capacity / poolCapacity
+	bound := math.Ceil(c*float64(poolInFlight+1)*share - boundEpsilon)
+	return max(1, int(bound))
+}
+
+// boundEpsilon keeps floating-point error from raising an exact integer to the next one.
+const boundEpsilon = 1e-9
--- /dev/null
+++ b/cmd/bilberryctl/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
