Extend claim and admission messages

Cause: the writer of a claim partition identifies claims by nonce and may leave an unavailable claim unsettled; long waits should not walk over all choices. Change: nonce in ClaimFinish, Unsettled and Stored in ClaimReply, LastChoice in Admit. Before and after: the round trip and fuzz seed tests pass before and after.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -71,16 +71,19 @@
 // Admit asks the home of an engine to admit an attempt.
 type Admit struct {
 	// Attempt is unique per sender and incarnation.
-	Attempt     uint64            `cbor:"1,keyasint"`
-	Engine      fleet.EngineID    `cbor:"2,keyasint"`
-	Chat        fleet.ChatKey     `cbor:"3,keyasint,omitempty"`
-	Customer    fleet.CustomerID  `cbor:"4,keyasint,omitempty"`
-	Class       uint8             `cbor:"5,keyasint,omitempty"`
-	WaitedMs    uint32            `cbor:"6,keyasint,omitempty"`
+	Attempt  uint64           `cbor:"1,keyasint"`
+	Engine   fleet.EngineID   `cbor:"2,keyasint"`
+	Chat     fleet.ChatKey    `cbor:"3,keyasint,omitempty"`
+	Customer fleet.CustomerID `cbor:"4,keyasint,omitempty"`
+	Class    uint8            `cbor:"5,keyasint,omitempty"`
+	WaitedMs uint32           `cbor:"6,keyasint,omitempty"`
+	// DeadlineMs is the time left until the work must be done; zero means no deadline.
 	DeadlineMs  uint32            `cbor:"7,keyasint,omitempty"`
 	Fingerprint fleet.Fingerprint `cbor:"8,keyasint,omitempty"`
 	// MayQueue asks the home to queue the attempt when it can't be granted at once.
 	MayQueue bool `cbor:"9,keyasint,omitempty"`
+	// LastChoice keeps a queued attempt in this queue instead of sending it to other engines.
+	LastChoice bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Decision is a home's answer to Admit.
@@ -187,13 +190,17 @@
 	ClaimUnknown     ClaimStatus = 4
 	ClaimUnavailable ClaimStatus = 5
 	ClaimMismatch    ClaimStatus = 6
+	// ClaimStored confirms ClaimFinish.
+	ClaimStored ClaimStatus = 7
 )
 
-// ClaimReply answers ClaimRequest. After ClaimRunning a second reply follows when the running call ends.
+// ClaimReply answers ClaimRequest and ClaimFinish.
 type ClaimReply struct {
 	ID      uint64      `cbor:"1,keyasint"`
 	Status  ClaimStatus `cbor:"2,keyasint"`
 	Outcome *Outcome    `cbor:"3,keyasint,omitempty"`
+	// Unsettled tells that a record of an unavailable claim may exist, so that the sender must release it.
+	Unsettled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome is the recorded result of a call.
@@ -215,13 +222,13 @@
 	ClaimEndUnknown  ClaimEnd = 3
 )
 
-// ClaimFinish records the end of a claimed call. The sender repeats it until the owner replies.
+// ClaimFinish records the end of the call that was granted under Nonce. The sender repeats it until it is stored.
 type ClaimFinish struct {
-	ID      uint64          `cbor:"1,keyasint"`
-	Key     []byte          `cbor:"2,keyasint"`
-	Attempt fleet.AttemptID `cbor:"3,keyasint"`
-	End     ClaimEnd        `cbor:"4,keyasint"`
-	Outcome *Outcome        `cbor:"5,keyasint,omitempty"`
+	ID      uint64   `cbor:"1,keyasint"`
+	Key     []byte   `cbor:"2,keyasint"`
+	Nonce   uint64   `cbor:"3,keyasint"`
+	End     ClaimEnd `cbor:"4,keyasint"`
+	Outcome *Outcome `cbor:"5,keyasint,omitempty"`
 }
 
 // Strike reports fingerprints that ran on an engine when it crashed.
