Add configuration manifests, adoption and publishing

Cause: an accepted publish must reach every instance and never revert, while two operators publish at once and answers of the key-value service get lost. Change: package revision with canonical manifests, difference, three-way merge, an adopter that takes only higher versions, and the publisher as a state machine with effects as data. The publisher archives version n under config/version/n before it moves the head from n. Writing the new manifest there before the head would leave the manifest of a publisher that lost the race under the winner's version. The archive also settles a lost answer when another publish has moved the head since. Conclusion: the daemon and the CLI can publish and adopt with these types.

--- /dev/null
+++ b/revision/adopter.go
@@ -0,0 +1,164 @@
+package revision
+
+import (
+	"maps"
+	"slices"
+)
+
+// Outcome is the result of an offer to an Adopter.
+type Outcome int
+
+const (
+	// Adopted means that the offered version is in force now.
+	Adopted Outcome = iota
+	// Older means that a higher version is in force or awaits its contents.
+	Older
+	// Same means that this version is in force already.
+	Same
+	// Missing means that contents must be fetched first.
+	Missing
+	// Rejected means that the check refused the contents; the version in force stays.
+	Rejected
+	// Diverged means that another manifest has the version in force. It is not adopted.
+	// Compare-and-swap on the head excludes it unless the platform lost data.
+	Diverged
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"adopted", "older", "same", "missing", "rejected", "diverged"}[o]
+}
+
+// Result is an outcome with its details.
+type Result struct {
+	Outcome Outcome
+	// Version is the version that the result is about.
+	Version uint64
+	// Digests lists the contents to fetch, sorted. It is set for Missing.
+	Digests []string
+	// Err is the fault found by the check. It is set for Rejected.
+	Err error
+}
+
+// Adopter holds an instance's configuration. It adopts only higher versions and never reverts.
+// It is not safe for concurrent use.
+type Adopter struct {
+	check   func(files map[string][]byte) error
+	current Manifest
+	pending *Manifest
+	blobs   map[string][]byte
+	// rejected is the last version that the check refused, so that it is fetched only once.
+	rejected    uint64
+	rejectedErr error
+}
+
+// NewAdopter returns an adopter without a configuration. Check must accept contents before
+// they are in force; nil accepts all.
+func NewAdopter(check func(files map[string][]byte) error) *Adopter {
+	if check == nil {
+		check = func(map[string][]byte) error { return nil }
+	}
+	return &Adopter{check: check, blobs: map[string][]byte{}}
+}
+
+// Current returns the manifest in force. Its version is zero before the first adoption. The
+// caller must not change it.
+func (a *Adopter) Current() Manifest { return a.current }
+
+// Pending returns the manifest that awaits contents, or nil.
+func (a *Adopter) Pending() *Manifest { return a.pending }
+
+// Files returns the contents in force by path. The caller must not change them.
+func (a *Adopter) Files() map[string][]byte { return a.contents(a.current) }
+
+// Blob returns a held content by its digest.
+func (a *Adopter) Blob(digest string) ([]byte, bool) {
+	content, ok := a.blobs[digest]
+	return content, ok
+}
+
+// Offer considers a manifest. After Missing the caller fetches the digests and passes their
+// contents to Add; a still higher offer replaces the one that waits.
+func (a *Adopter) Offer(m Manifest) Result {
+	if m.Version == a.current.Version && m.Version != 0 {
+		return Result{Outcome: a.compare(m), Version: m.Version}
+	}
+	if m.Version <= a.current.Version || a.pending != nil && m.Version < a.pending.Version {
+		return Result{Outcome: Older, Version: m.Version}
+	}
+	if m.Version == a.rejected {
+		return Result{Outcome: Rejected, Version: m.Version, Err: a.rejectedErr}
+	}
+	m.Files = maps.Clone(m.Files)
+	a.pending = &m
+	return a.settle()
+}
+
+func (a *Adopter) compare(m Manifest) Outcome {
+	if m.PublishID == a.current.PublishID && maps.Equal(m.Files, a.current.Files) {
+		return Same
+	}
+	return Diverged
+}
+
+// Add takes a content that was fetched. Its key is its digest, so a wrong content cannot
+// replace another. Contents that no manifest needs are dropped. The second value is false
+// when nothing is pending.
+func (a *Adopter) Add(content []byte) (Result, bool) {
+	if a.pending == nil {
+		return Result{}, false
+	}
+	digest := Digest(content)
+	for _, wanted := range a.pending.Files {
+		if wanted == digest {
+			a.blobs[digest] = slices.Clone(content)
+			break
+		}
+	}
+	return a.settle(), true
+}
+
+// settle adopts the pending manifest if its contents are complete and pass the check.
+func (a *Adopter) settle() Result {
+	m := *a.pending
+	if missing := a.missing(m); len(missing) > 0 {
+		return Result{Outcome: Missing, Version: m.Version, Digests: missing}
+	}
+	a.pending = nil
+	if err := a.check(a.contents(m)); err != nil {
+		a.rejected, a.rejectedErr = m.Version, err
+		a.prune()
+		return Result{Outcome: Rejected, Version: m.Version, Err: err}
+	}
+	a.current = m
+	a.prune()
+	return Result{Outcome: Adopted, Version: m.Version}
+}
+
+func (a *Adopter) missing(m Manifest) []string {
+	var digests []string
+	for _, digest := range m.Files {
+		if _, ok := a.blobs[digest]; !ok {
+			digests = append(digests, digest)
+		}
+	}
+	slices.Sort(digests)
+	return slices.Compact(digests)
+}
+
+func (a *Adopter) contents(m Manifest) map[string][]byte {
+	files := make(map[string][]byte, len(m.Files))
+	for path, digest := range m.Files {
+		files[path] = a.blobs[digest]
+	}
+	return files
+}
+
+// prune drops contents that the version in force does not need.
+func (a *Adopter) prune() {
+	needed := map[string]bool{}
+	for _, digest := range a.current.Files {
+		needed[digest] = true
+	}
+	maps.DeleteFunc(a.blobs, func(digest string, _ []byte) bool { return !needed[digest] })
+}
