Add the membership view, the link plan and the heartbeat interval

Cause: homes, duties and links need one view of the live instances that neither a lagging list nor a short silence can upset.

--- /dev/null
+++ b/membership/links.go
@@ -0,0 +1,96 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/affinity"
+	"github.com/bilberrywell/bilberrywell/fleet"
+)
+
+// LinksPerRegion is the number of links that an instance opens to each other region. Three
+// keep a region reachable when two of the chosen instances fail at once.
+const LinksPerRegion = 3
+
+// Link is one planned link.
+type Link struct {
+	Instance
+	// Dial tells that this side opens the connection.
+	Dial bool
+}
+
+// LinkPlan returns the links of self in order of ID: to every instance of the own region,
+// and to LinksPerRegion instances of each other region, chosen by rendezvous hashing. Of
+// two instances that plan the same link, the one with the smaller ID dials. A link that
+// only self plans is dialed by self, so that no link depends on the other side's view.
+// Instances also accept links that only the other side plans.
+func LinkPlan(self Instance, instances []Instance) []Link {
+	regions := map[fleet.Region][]Instance{self.Region: {self}}
+	for _, instance := range instances {
+		if instance.ID != self.ID {
+			regions[instance.Region] = append(regions[instance.Region], instance)
+		}
+	}
+	own := regions[self.Region]
+	var plan []Link
+	for region, members := range regions {
+		if region == self.Region {
+			plan = append(plan, meshLinks(self, members)...)
+			continue
+		}
+		plan = append(plan, remoteLinks(self, own, members)...)
+	}
+	slices.SortFunc(plan, func(a, b Link) int { return cmp.Compare(a.ID, b.ID) })
+	return plan
+}
+
+func meshLinks(self Instance, members []Instance) []Link {
+	var plan []Link
+	for _, peer := range members {
+		if peer.ID != self.ID {
+			plan = append(plan, Link{Instance: peer, Dial: self.ID < peer.ID})
+		}
+	}
+	return plan
+}
+
+func remoteLinks(self Instance, own, members []Instance) []Link {
+	var plan []Link
+	for _, peer := range choose(self.ID, members) {
+		mutual := slices.ContainsFunc(choose(peer.ID, own), func(i Instance) bool { return i.ID == self.ID })
+		plan = append(plan, Link{Instance: peer, Dial: !mutual || self.ID < peer.ID})
+	}
+	return plan
+}
+
+// choose returns the members that an instance links to, best first.
+func choose(id fleet.InstanceID, members []Instance) []Instance {
+	candidates := make([]affinity.Candidate, len(members))
+	for i, m := range members {
+		candidates[i] = affinity.Candidate{ID: string(m.ID), Weight: 1}
+	}
+	order := affinity.Rank(fleet.Hash("link", string(id)), candidates)
+	chosen := make([]Instance, 0, LinksPerRegion)
+	for _, i := range order[:min(LinksPerRegion, len(order))] {
+		chosen = append(chosen, members[i])
+	}
+	return chosen
+}
+
+// heartbeatShare is the part of the control budget that heartbeats may use: one third.
+const heartbeatShare = 3
+
+// HeartbeatInterval returns the shortest interval, in whole 100 ms and at least
+// MinInterval, at which one heartbeat of bytesPerHeartbeat bytes on each link uses at most
+// a third of budget, in bytes per second.
+func HeartbeatInterval(links, bytesPerHeartbeat, budget int) time.Duration {
+	if links <= 0 || bytesPerHeartbeat <= 0 || budget <= 0 {
+		return MinInterval
+	}
+	const step = 100 * time.Millisecond
+	perSecond := int64(time.Second / step)
+	bytes := int64(links) * int64(bytesPerHeartbeat) * heartbeatShare * perSecond
+	steps := (bytes + int64(budget) - 1) / int64(budget)
+	return max(MinInterval, time.Duration(steps)*step)
+}
--- /dev/null
+++ b/membership/query.go
@@ -0,0 +1,48 @@
+package membership
+
+import "github.com/bilberrywell/bilberrywell/fleet"
+
+// Epoch returns a number that rises with each change.
+func (v *View) Epoch() uint64 { return v.epoch }
+
+// Live returns the live instances of a region in order of ID, draining ones included.
+func (v *View) Live(region fleet.Region) []Instance {
+	return v.collect(func(r *record) bool {
+		return r.Region == region && r.state == stateLive
+	})
+}
+
+// Homes returns the instances of a region that may take homes and duties: live and not draining.
+func (v *View) Homes(region fleet.Region) []Instance {
+	return v.collect(func(r *record) bool {
+		return r.Region == region && r.state == stateLive && !r.draining
+	})
+}
+
+// Peers returns the instances to pass to LinkPlan: of the own region all that are known,
+// since a silent one is found again only by dialing it; of other regions the live ones.
+func (v *View) Peers() []Instance {
+	return v.collect(func(r *record) bool {
+		return r.ID != v.self && (r.Region == v.region || r.state == stateLive)
+	})
+}
+
+// Incarnation returns the current incarnation of an instance. It is false for instances
+// that were never heard.
+func (v *View) Incarnation(id fleet.InstanceID) (uint64, bool) {
+	r := v.records[id]
+	if r == nil || (!r.heard && id != v.self) {
+		return 0, false
+	}
+	return r.incarnation, true
+}
+
+func (v *View) collect(keep func(*record) bool) []Instance {
+	var list []Instance
+	for _, id := range v.order {
+		if r := v.records[id]; keep(r) {
+			list = append(list, r.Instance)
+		}
+	}
+	return list
+}
