--- a/internal/standin/platformsim/http.go
+++ b/internal/standin/platformsim/http.go
@@ -184,3 +184,8 @@
 	}
 	return http.StatusInternalServerError
 }
+
+// Start serves the platform on addr, a loopback address whose port may be 0.
+func (s *Sim) Start(addr string) (*simutil.Server, error) {
+	return simutil.Start(addr, &http.Server{Handler: s.Handler()})
+}
--- /dev/null
+++ b/internal/standin/servicesim/service_test.go
@@ -0,0 +1,83 @@
+package servicesim
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func one() *int {
+	n := 1
+	return &n
+}
+
+func serve(t *testing.T, options Options) (*Service, func(key string) (*http.Response, Receipt)) {
+	service := New(options)
+	server, err := service.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	return service, func(key string) (*http.Response, Receipt) {
+		// A body without a GetBody function keeps net/http from repeating the call by itself.
+		body := io.MultiReader(strings.NewReader("order"))
+		r, err := http.NewRequest(http.MethodPost, server.URL+"/orders", body)
+		require.NoError(t, err)
+		r.Header.Set(KeyHeader, key)
+		r.Header.Set(AttemptHeader, "a1")
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return nil, Receipt{}
+		}
+		defer func() { _ = response.Body.Close() }()
+		var receipt Receipt
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&receipt))
+		return response, receipt
+	}
+}
+
+// Guards against a doubled run that the log does not show, and against a fault that does
+// not say whether the call took effect.
+func TestFaultsAroundTheEffect(t *testing.T) {
+	service, order := serve(t, Options{ID: "s"})
+	response, receipt := order("k1")
+	require.Equal(t, "a1", response.Header.Get(AttemptHeader))
+	require.Equal(t, Receipt{"s", "POST", "/orders", "k1", BodyDigest([]byte("order")), 1}, receipt)
+	_, receipt = order("k1")
+	require.Equal(t, 2, receipt.Run)
+
+	service.SetFault(Fault{LoseAnswer: one()})
+	response, _ = order("k2")
+	require.Nil(t, response)
+	service.SetFault(Fault{CrashBefore: one(), RestartMS: new(int)})
+	response, _ = order("k3")
+	require.Nil(t, response)
+	log := service.Log()
+	require.Equal(t, map[string]int{"k1": 2, "k2": 1}, log.Counts)
+	require.Len(t, log.Runs, 4)
+	require.False(t, log.Runs[3].Effect)
+}
+
+// Guards against an own idempotency check that runs a key twice after a lost answer, or
+// that never runs a key whose first run had no effect.
+func TestOwnCheck(t *testing.T) {
+	service, order := serve(t, Options{Idempotent: true})
+	service.SetFault(Fault{LoseAnswer: one()})
+	response, _ := order("k1")
+	require.Nil(t, response)
+	response, receipt := order("k1")
+	require.Equal(t, "true", response.Header.Get(ReplayedHeader))
+	require.Equal(t, 1, receipt.Run)
+
+	refuse := true
+	service.SetFault(Fault{Refuse: &refuse})
+	response, _ = order("k2")
+	require.Equal(t, "true", response.Header.Get(NotRunHeader))
+	refuse = false
+	service.SetFault(Fault{Refuse: &refuse})
+	_, receipt = order("k2")
+	require.Equal(t, 1, receipt.Run)
+	require.Equal(t, map[string]int{"k1": 1, "k2": 1}, service.Log().Counts)
+}
