Add the caller stand-in

Cause: the demo driver and the load tool both hold conversations and must check that each answer is whole and belongs to its own request.

Change: internal/standin/callersim sends chats and calls and sorts their ends into kinds. Its requests carry a body that net/http cannot repeat.

Conclusion: every client that sends non-idempotent calls must leave GetBody unset.

--- /dev/null
+++ b/internal/standin/callersim/client.go
@@ -0,0 +1,244 @@
+// Package callersim is a stand-in for the callers of the fleet. It holds conversations
+// with engines of package enginesim, sends calls to services of package servicesim, and
+// checks that each answer is whole and its own.
+package callersim
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/internal/standin/enginesim"
+	"github.com/bilberrywell/bilberrywell/internal/standin/servicesim"
+)
+
+const (
+	// ConversationHeader carries the conversation id.
+	ConversationHeader = "X-Conversation-Id"
+	// OutcomeHeader carries the kind of an error: not_run, unknown or failed.
+	OutcomeHeader = "X-Bilberry-Outcome"
+	// ChatPath is the path of chat requests.
+	ChatPath = "/v1/chat/completions"
+	// maxLineBytes bounds one line of a stream.
+	maxLineBytes = 1 << 20
+	// maxAnswerBytes bounds an answer that is not streamed.
+	maxAnswerBytes = 16 << 20
+)
+
+// Kind says how a call ended.
+type Kind string
+
+const (
+	// OK is a whole answer to the caller's own request.
+	OK Kind = "ok"
+	// Wrong is an answer that belongs to another request.
+	Wrong Kind = "wrong"
+	// Cut is an answer that ended early.
+	Cut Kind = "cut"
+	// NotRun, Unknown and Failed are errors that say so.
+	NotRun  Kind = "not_run"
+	Unknown Kind = "unknown"
+	Failed  Kind = "failed"
+	// Unreachable is a connection that was refused: nothing was sent.
+	Unreachable Kind = "unreachable"
+	// Broken is a connection that ended before an answer.
+	Broken Kind = "broken"
+)
+
+// Client calls one address with one API key.
+type Client struct {
+	HTTP *http.Client
+	// Base is the URL of the instance or engine, without a trailing slash.
+	Base string
+	Key  string
+}
+
+// ChatResult is the end of a chat request.
+type ChatResult struct {
+	Kind   Kind
+	Status int
+	// Detail is the error or its body, for reports.
+	Detail string
+	Text   string
+	Usage  enginesim.Usage
+	// FirstToken and Total are times since the request was sent.
+	FirstToken time.Duration
+	Total      time.Duration
+	RetryAfter time.Duration
+}
+
+// Chat sends a chat request and checks the answer.
+func (c *Client) Chat(ctx context.Context, conversation string, request enginesim.Request) ChatResult {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return ChatResult{Kind: Failed, Detail: err.Error()}
+	}
+	start := time.Now()
+	r := c.request(ctx, http.MethodPost, ChatPath, body)
+	r.Header.Set(ConversationHeader, conversation)
+	response, err := c.HTTP.Do(r)
+	if err != nil {
+		return ChatResult{Kind: connectionKind(err), Detail: err.Error(), Total: time.Since(start)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	result := read(response, request.Stream, start)
+	result.Total = time.Since(start)
+	result.check(request)
+	return result
+}
+
+// request builds a request whose body net/http cannot repeat by itself: it would resend a
+// request with an Idempotency-Key after a broken connection.
+func (c *Client) request(ctx context.Context, method, path string, body []byte) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, c.Base+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		panic(err) // The base URL comes from a listener's address.
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Content-Type", "application/json")
+	if c.Key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	return r
+}
+
+// read reads the answer. The kind stays empty when an answer without an error came.
+func read(response *http.Response, streamed bool, start time.Time) ChatResult {
+	result := ChatResult{Status: response.StatusCode}
+	if response.StatusCode != http.StatusOK {
+		result.Kind, result.Detail = errorKind(response)
+		result.RetryAfter = retryAfter(response)
+		return result
+	}
+	if streamed {
+		readStream(response.Body, &result, start)
+		return result
+	}
+	var whole enginesim.Completion
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&whole); err != nil {
+		result.Kind, result.Detail = Cut, err.Error()
+		return result
+	}
+	result.FirstToken = time.Since(start)
+	result.take(whole)
+	return result
+}
+
+// readStream reads server-sent events up to the done mark.
+func readStream(body io.Reader, result *ChatResult, start time.Time) {
+	result.Kind, result.Detail = Cut, "no done mark"
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			result.Kind, result.Detail = "", ""
+			return
+		}
+		if result.FirstToken == 0 {
+			result.FirstToken = time.Since(start)
+		}
+		if !result.chunk(data) {
+			return
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		result.Detail = err.Error()
+	}
+}
+
+// chunk takes one chunk. It returns false for an error event, which ends the stream.
+func (r *ChatResult) chunk(data []byte) bool {
+	var chunk struct {
+		enginesim.Completion
+		Error json.RawMessage `json:"error"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		r.Detail = err.Error()
+		return false
+	}
+	if chunk.Error != nil {
+		r.Detail = "error event: " + string(chunk.Error)
+		return false
+	}
+	r.take(chunk.Completion)
+	return true
+}
+
+func (r *ChatResult) take(c enginesim.Completion) {
+	for _, choice := range c.Choices {
+		switch {
+		case choice.Delta != nil:
+			r.Text += choice.Delta.Content
+		case choice.Message != nil:
+			r.Text += string(choice.Message.Content)
+		}
+	}
+	if c.Usage != nil {
+		r.Usage = *c.Usage
+	}
+}
+
+// check compares the answer with the one that belongs to the request.
+func (r *ChatResult) check(request enginesim.Request) {
+	if r.Kind != "" && r.Kind != Cut {
+		return
+	}
+	want := enginesim.AnswerText(request.Messages, request.MaxTokens)
+	switch {
+	case r.Kind == Cut && len(r.Text) <= len(want) && want[:len(r.Text)] == r.Text:
+	case r.Text != want:
+		r.Kind, r.Detail = Wrong, "got "+strconv.Quote(r.Text)+", want "+strconv.Quote(want)
+	case r.Kind == "":
+		r.Kind = OK
+	}
+}
+
+// CallResult is the end of a call to a plain service.
+type CallResult struct {
+	Kind       Kind
+	Status     int
+	Detail     string
+	Receipt    servicesim.Receipt
+	Total      time.Duration
+	RetryAfter time.Duration
+}
+
+// Call sends a call with an idempotency key and checks its receipt.
+func (c *Client) Call(ctx context.Context, method, path, key string, body []byte) CallResult {
+	start := time.Now()
+	r := c.request(ctx, method, path, body)
+	r.Header.Set(servicesim.KeyHeader, key)
+	response, err := c.HTTP.Do(r)
+	if err != nil {
+		return CallResult{Kind: connectionKind(err), Detail: err.Error(), Total: time.Since(start)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	result := CallResult{Status: response.StatusCode, RetryAfter: retryAfter(response)}
+	if response.StatusCode != http.StatusOK {
+		result.Kind, result.Detail = errorKind(response)
+	} else {
+		result.receipt(response.Body, key, body)
+	}
+	result.Total = time.Since(start)
+	return result
+}
+
+func (r *CallResult) receipt(answer io.Reader, key string, body []byte) {
+	if err := json.NewDecoder(io.LimitReader(answer, maxAnswerBytes)).Decode(&r.Receipt); err != nil {
+		r.Kind, r.Detail = Cut, err.Error()
+		return
+	}
+	r.Kind = OK
+	if r.Receipt.Key != key || r.Receipt.BodySHA256 != servicesim.BodyDigest(body) {
+		r.Kind, r.Detail = Wrong, "receipt of key "+r.Receipt.Key+" for key "+key
+	}
+}
