Let peers announce their address and callers find chat services

Cause: an instance that the lagging list lacks is known only by its link, and its region and address are needed to choose homes. Conclusion: the reducer can place accepted links.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -7,6 +7,7 @@
 
 import (
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -192,3 +193,20 @@
 	// QueueLength is the most requests waiting for one engine.
 	QueueLength int
 }
+
+// Allows reports whether the customer may call a service.
+func (c *Customer) Allows(id fleet.ServiceID) bool {
+	return len(c.Services) == 0 || slices.Contains(c.Services, id)
+}
+
+// ChatServices returns the chat services that serve a model, sorted by ID.
+func (s *Snapshot) ChatServices(model string) []*Service {
+	var list []*Service
+	for _, service := range s.Services {
+		if service.Kind == KindChat && service.Model == model {
+			list = append(list, service)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Service) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -43,6 +43,8 @@
 	Region      fleet.Region     `cbor:"4,keyasint,omitempty"`
 	// Release is the software version, for upgrades with two versions side by side.
 	Release string `cbor:"5,keyasint,omitempty"`
+	// Addr is the address of the sender's peer listener.
+	Addr string `cbor:"6,keyasint,omitempty"`
 }
 
 // Heartbeat tells that the sender is alive and what changed since its previous heartbeat on this link.
--- a/membership/query.go
+++ b/membership/query.go
@@ -46,3 +46,9 @@
 	}
 	return list
 }
+
+// Known reports whether an instance is listed or was heard and is not gone.
+func (v *View) Known(id fleet.InstanceID) bool {
+	r := v.records[id]
+	return r != nil && (r.listed || r.state != stateUnknown)
+}
