--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -54,25 +54,39 @@
 // Decode returns the messages of a frame. Messages of unknown kinds are left out.
 // It returns ErrFrame when any part is malformed.
 func Decode(frame []byte) ([]Message, error) {
+	var messages []Message
+	err := DecodeEach(frame, func(m Message, _ int) {
+		messages = append(messages, m)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return messages, nil
+}
+
+// DecodeEach calls each with the messages of a frame and their encoded sizes in bytes.
+// Messages of unknown kinds are left out. It returns ErrFrame at the first malformed part,
+// after each was called for the messages before it.
+func DecodeEach(frame []byte, each func(m Message, size int)) error {
 	if len(frame) > MaxFrameBytes {
-		return nil, fmt.Errorf("%w: %d bytes", ErrFrame, len(frame))
+		return fmt.Errorf("%w: %d bytes", ErrFrame, len(frame))
 	}
-	var messages []Message
 	for rest := frame; len(rest) > 0; {
 		var env envelope
 		next, err := decMode.UnmarshalFirst(rest, &env)
 		if err != nil {
-			return nil, fmt.Errorf("%w: %v", ErrFrame, err)
+			return fmt.Errorf("%w: %v", ErrFrame, err)
 		}
+		size := len(rest) - len(next)
 		rest = next
 		m := newMessage(env.Kind)
 		if m == nil {
 			continue
 		}
 		if err := decMode.Unmarshal(env.Body, m); err != nil {
-			return nil, fmt.Errorf("%w: %s: %v", ErrFrame, env.Kind, err)
+			return fmt.Errorf("%w: %s: %v", ErrFrame, env.Kind, err)
 		}
-		messages = append(messages, m)
+		each(m, size)
 	}
-	return messages, nil
+	return nil
 }
