Add the daemon's settings

Cause: a daemon must refuse to start on faulty settings, and an operator should see every fault in one run. Conclusion: the daemon can start from settings.Load.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,261 @@
+package settings
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/yamlfile"
+)
+
+// minSecretBytes keeps the secret from being guessed: 32 hex digits hold 128 bits.
+const minSecretBytes = 32
+
+// Load reads and checks a settings file. File names in it are relative to its directory.
+func Load(path string) (Settings, config.Findings) {
+	l := &loader{file: path, dir: filepath.Dir(path), settings: Defaults(), nodes: map[string]*yaml.Node{}}
+	l.Report = func(n *yaml.Node, message string) { l.report(n.Line, n.Column, message) }
+	data, err := os.ReadFile(path)
+	if err != nil {
+		l.report(1, 1, "cannot be read: "+err.Error())
+		return l.settings, l.findings
+	}
+	l.read(data)
+	l.findings.Sort()
+	return l.settings, l.findings
+}
+
+type loader struct {
+	yamlfile.Reader
+	file, dir string
+	settings  Settings
+	findings  config.Findings
+	// nodes holds the value of each field that is present.
+	nodes map[string]*yaml.Node
+}
+
+func (l *loader) report(line, column int, message string) {
+	l.findings = append(l.findings, config.Finding{File: l.file, Line: max(1, line), Column: max(1, column), Message: message})
+}
+
+func (l *loader) reportf(n *yaml.Node, format string, args ...any) {
+	l.Report(n, fmt.Sprintf(format, args...))
+}
+
+func (l *loader) read(data []byte) {
+	root, syntax := yamlfile.Parse(data)
+	if syntax != nil {
+		l.report(syntax.Line, 1, syntax.Message)
+		return
+	}
+	if root == nil {
+		l.report(1, 1, "the file is empty")
+		return
+	}
+	l.Mapping(root, "the settings file", l.fields(), "instance", "data_centre", "region",
+		"caller_addr", "peer_addr", "admin_addr", "platform_url", "fleet_secret_file")
+	l.advertised()
+	l.addresses()
+	l.secret()
+	l.peerTLS(root)
+	l.relations()
+}
+
+func (l *loader) fields() yamlfile.Fields {
+	s := &l.settings
+	fields := yamlfile.Fields{
+		"instance":                        func(n *yaml.Node) { s.Instance = fleet.InstanceID(l.text(n, "instance")) },
+		"data_centre":                     func(n *yaml.Node) { s.DataCentre = fleet.DataCentre(l.text(n, "data_centre")) },
+		"region":                          func(n *yaml.Node) { s.Region = fleet.Region(l.text(n, "region")) },
+		"caller_addr":                     l.addr("caller_addr", &s.CallerAddr),
+		"peer_addr":                       l.addr("peer_addr", &s.PeerAddr),
+		"admin_addr":                      l.addr("admin_addr", &s.AdminAddr),
+		"caller_advertise_addr":           l.addr("caller_advertise_addr", &s.CallerAdvertise),
+		"peer_advertise_addr":             l.addr("peer_advertise_addr", &s.PeerAdvertise),
+		"admin_advertise_addr":            l.addr("admin_advertise_addr", &s.AdminAdvertise),
+		"platform_url":                    l.platformURL,
+		"fleet_secret_file":               l.path("fleet_secret_file", &s.FleetSecretFile),
+		"peer_tls_cert_file":              l.path("peer_tls_cert_file", &s.PeerTLSCertFile),
+		"peer_tls_key_file":               l.path("peer_tls_key_file", &s.PeerTLSKeyFile),
+		"peer_tls_ca_file":                l.path("peer_tls_ca_file", &s.PeerTLSCAFile),
+		"drain_deadline":                  l.duration("drain_deadline", &s.DrainDeadline, time.Second, time.Hour),
+		"balancer_grace":                  l.duration("balancer_grace", &s.BalancerGrace, 0, time.Minute),
+		"takeover_window":                 l.duration("takeover_window", &s.TakeoverWindow, 100*time.Millisecond, time.Minute),
+		"heartbeat_interval":              l.duration("heartbeat_interval", &s.HeartbeatInterval, 50*time.Millisecond, time.Minute),
+		"stream_stall_timeout":            l.duration("stream_stall_timeout", &s.StreamStallTimeout, 100*time.Millisecond, 10*time.Minute),
+		"header_timeout":                  l.duration("header_timeout", &s.HeaderTimeout, 100*time.Millisecond, time.Minute),
+		"idle_timeout":                    l.duration("idle_timeout", &s.IdleTimeout, time.Second, time.Hour),
+		"rewalk":                          l.duration("rewalk", &s.Rewalk, 10*time.Millisecond, 10*time.Second),
+		"claim_retention":                 l.duration("claim_retention", &s.ClaimRetention, time.Minute, 30*24*time.Hour),
+		"claim_batch":                     l.duration("claim_batch", &s.ClaimBatch, 0, time.Second),
+		"control_budget_bytes_per_second": l.integer("control_budget_bytes_per_second", &s.ControlBytesPerSecond, 1024, 1<<30),
+		"request_body_limit_bytes":        l.integer("request_body_limit_bytes", &s.RequestBodyBytes, 1024, 1<<30),
+		"header_limit_bytes":              l.integer("header_limit_bytes", &s.HeaderBytes, 1024, 16<<20),
+		"timeline_events":                 l.integer("timeline_events", &s.TimelineEvents, 16, 1<<20),
+		"takeover_share": func(n *yaml.Node) {
+			if f, ok := l.Number(n, "takeover_share", 0.01, 1); ok {
+				s.TakeoverShare = f
+			}
+		},
+	}
+	for name, read := range fields {
+		fields[name] = func(n *yaml.Node) {
+			l.nodes[name] = n
+			read(n)
+		}
+	}
+	return fields
+}
+
+func (l *loader) text(n *yaml.Node, what string) string {
+	text, _ := l.String(n, what)
+	return text
+}
+
+func (l *loader) addr(what string, to *string) func(*yaml.Node) {
+	return func(n *yaml.Node) { *to, _ = l.Addr(n, what) }
+}
+
+func (l *loader) path(what string, to *string) func(*yaml.Node) {
+	return func(n *yaml.Node) {
+		text, ok := l.String(n, what)
+		if ok && !filepath.IsAbs(text) {
+			text = filepath.Join(l.dir, text)
+		}
+		*to = text
+	}
+}
+
+func (l *loader) duration(what string, to *time.Duration, low, high time.Duration) func(*yaml.Node) {
+	return func(n *yaml.Node) {
+		if d, ok := l.Duration(n, what, low, high); ok {
+			*to = d
+		}
+	}
+}
+
+func (l *loader) integer(what string, to *int, low, high int) func(*yaml.Node) {
+	return func(n *yaml.Node) {
+		if i, ok := l.Int(n, what, low, high); ok {
+			*to = i
+		}
+	}
+}
+
+func (l *loader) platformURL(n *yaml.Node) {
+	text, ok := l.String(n, "platform_url")
+	if !ok {
+		return
+	}
+	u, err := url.Parse(text)
+	if err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.RawQuery == "" && u.User == nil {
+		if _, err = netip.ParseAddr(u.Hostname()); err == nil {
+			l.settings.PlatformURL = text
+			return
+		}
+	}
+	l.reportf(n, "platform_url must be an http or https URL with an IP address, not %q", text)
+}
+
+// advertised fills absent advertised addresses from the listeners.
+func (l *loader) advertised() {
+	s := &l.settings
+	l.advertise("caller", s.CallerAddr, &s.CallerAdvertise)
+	l.advertise("peer", s.PeerAddr, &s.PeerAdvertise)
+	l.advertise("admin", s.AdminAddr, &s.AdminAdvertise)
+}
+
+func (l *loader) advertise(name, listener string, to *string) {
+	node := l.nodes[name+"_advertise_addr"]
+	if node == nil {
+		node = l.nodes[name+"_addr"]
+		*to = listener
+	}
+	if a, err := netip.ParseAddrPort(*to); err == nil && a.Addr().IsUnspecified() {
+		l.reportf(node, "others cannot connect to %s, set %s_advertise_addr to an address of this machine", *to, name)
+	}
+}
+
+// addresses reports listeners that share an address.
+func (l *loader) addresses() {
+	s := l.settings
+	first := map[string]string{}
+	for _, a := range []struct{ name, addr string }{{"caller_addr", s.CallerAddr}, {"peer_addr", s.PeerAddr}, {"admin_addr", s.AdminAddr}} {
+		if other, ok := first[a.addr]; ok && a.addr != "" {
+			l.reportf(l.nodes[a.name], "%s is the same address as %s", a.name, other)
+		}
+		first[a.addr] = a.name
+	}
+}
+
+func (l *loader) secret() {
+	n := l.nodes["fleet_secret_file"]
+	if n == nil || l.settings.FleetSecretFile == "" {
+		return
+	}
+	data, err := os.ReadFile(l.settings.FleetSecretFile)
+	if err != nil {
+		l.reportf(n, "fleet_secret_file cannot be read: %v", err)
+		return
+	}
+	secret := bytes.TrimSpace(data)
+	if len(secret) < minSecretBytes {
+		l.reportf(n, "fleet_secret_file must hold at least %d characters", minSecretBytes)
+		return
+	}
+	l.settings.FleetSecret = Secret(secret)
+}
+
+func (l *loader) peerTLS(root *yaml.Node) {
+	s := l.settings
+	present := 0
+	for _, name := range []string{"peer_tls_cert_file", "peer_tls_key_file", "peer_tls_ca_file"} {
+		if l.nodes[name] != nil {
+			present++
+		}
+	}
+	switch {
+	case present == 0:
+		return
+	case present < 3:
+		l.reportf(root, "peer_tls_cert_file, peer_tls_key_file and peer_tls_ca_file are set together or not at all")
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(s.PeerTLSCertFile, s.PeerTLSKeyFile); err != nil {
+		l.reportf(l.nodes["peer_tls_cert_file"], "the peer certificate and key cannot be used: %v", err)
+	}
+	ca, err := os.ReadFile(s.PeerTLSCAFile)
+	if err != nil {
+		l.reportf(l.nodes["peer_tls_ca_file"], "peer_tls_ca_file cannot be read: %v", err)
+	} else if !x509.NewCertPool().AppendCertsFromPEM(ca) {
+		l.reportf(l.nodes["peer_tls_ca_file"], "peer_tls_ca_file holds no certificate")
+	}
+}
+
+// relations reports fields that are valid alone but not together.
+func (l *loader) relations() {
+	s := l.settings
+	if s.BalancerGrace >= s.DrainDeadline {
+		l.reportf(l.either("balancer_grace", "drain_deadline"), "balancer_grace %s must be below drain_deadline %s", s.BalancerGrace, s.DrainDeadline)
+	}
+	if s.HeartbeatInterval >= s.TakeoverWindow {
+		l.reportf(l.either("heartbeat_interval", "takeover_window"), "heartbeat_interval %s must be below takeover_window %s", s.HeartbeatInterval, s.TakeoverWindow)
+	}
+}
+
+func (l *loader) either(a, b string) *yaml.Node {
+	if n := l.nodes[a]; n != nil {
+		return n
+	}
+	return l.nodes[b]
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,96 @@
+// Package settings reads the daemon's settings from one YAML file.
+//
+// Every field is checked at start, together with the files it names, and all findings are
+// reported at once. examples/bilberrywelld.yaml lists each field with its default and unit.
+package settings
+
+import (
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+)
+
+// Secret is the fleet's secret. It prints as a placeholder, so that it does not reach logs.
+type Secret []byte
+
+// String returns a placeholder.
+func (Secret) String() string { return "[secret]" }
+
+// GoString returns a placeholder.
+func (Secret) GoString() string { return "[secret]" }
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Instance   fleet.InstanceID
+	DataCentre fleet.DataCentre
+	Region     fleet.Region
+
+	// CallerAddr, PeerAddr and AdminAddr are the listeners as IP:port.
+	CallerAddr string
+	PeerAddr   string
+	AdminAddr  string
+	// CallerAdvertise, PeerAdvertise and AdminAdvertise are the addresses that others use.
+	// They default to the listeners.
+	CallerAdvertise string
+	PeerAdvertise   string
+	AdminAdvertise  string
+
+	// PlatformURL is the base URL of the platform's services.
+	PlatformURL string
+	// FleetSecretFile holds the secret that peers and admin calls prove. FleetSecret is its
+	// content without surrounding white space.
+	FleetSecretFile string
+	FleetSecret     Secret
+	// PeerTLSCertFile, PeerTLSKeyFile and PeerTLSCAFile are PEM files; all or none are set.
+	PeerTLSCertFile string
+	PeerTLSKeyFile  string
+	PeerTLSCAFile   string
+
+	// DrainDeadline is the longest time that a stopping instance waits for streams to end.
+	DrainDeadline time.Duration
+	// BalancerGrace is the time from reporting not ready until the caller listener closes.
+	BalancerGrace time.Duration
+	// TakeoverWindow is the longest time that a new home admits a reduced share.
+	TakeoverWindow time.Duration
+	// TakeoverShare is that share of the load bound.
+	TakeoverShare     float64
+	HeartbeatInterval time.Duration
+	// ControlBytesPerSecond is the budget for messages to peers and probes.
+	ControlBytesPerSecond int
+	// StreamStallTimeout is the longest time without progress on a stream.
+	StreamStallTimeout time.Duration
+	// RequestBodyBytes, HeaderTimeout, HeaderBytes and IdleTimeout limit callers.
+	RequestBodyBytes int
+	HeaderTimeout    time.Duration
+	HeaderBytes      int
+	IdleTimeout      time.Duration
+	// Rewalk is the time in one queue after which the next engine is tried.
+	Rewalk time.Duration
+	// ClaimRetention is how long outcomes of claims are kept.
+	ClaimRetention time.Duration
+	// ClaimBatch is how long a claim waits for others in its partition.
+	ClaimBatch time.Duration
+	// TimelineEvents is the size of the event ring.
+	TimelineEvents int
+}
+
+// Defaults returns settings with the default of every optional field.
+func Defaults() Settings {
+	return Settings{
+		DrainDeadline:         60 * time.Second,
+		BalancerGrace:         2 * time.Second,
+		TakeoverWindow:        5 * time.Second,
+		TakeoverShare:         0.25,
+		HeartbeatInterval:     time.Second,
+		ControlBytesPerSecond: 12288,
+		StreamStallTimeout:    5 * time.Second,
+		RequestBodyBytes:      4 << 20,
+		HeaderTimeout:         5 * time.Second,
+		HeaderBytes:           64 << 10,
+		IdleTimeout:           time.Minute,
+		Rewalk:                200 * time.Millisecond,
+		ClaimRetention:        24 * time.Hour,
+		ClaimBatch:            20 * time.Millisecond,
+		TimelineEvents:        8192,
+	}
+}
