Give a publish whose outcome is unknown its own error

Cause: the CLI's exit code must tell a publish that may have been accepted from one that was not; an error code of a wrapped cause would hide it. Change: ErrOutcomeUnknown. Differences have empty lists instead of null in JSON. The defaults are 16 merges and 8 attempts, the property test uses small limits so that giving up is covered, and its seed is fixed. Conclusion: every end of a publish can be told apart.

--- a/revision/manifest.go
+++ b/revision/manifest.go
@@ -149,7 +149,8 @@
 
 // Diff returns what leads from the files of a to those of b.
 func Diff(a, b Manifest) Difference {
-	var d Difference
+	// Empty lists rather than nil give [] in JSON.
+	d := Difference{Added: []string{}, Removed: []string{}, Changed: []string{}}
 	for _, path := range paths(a.Files, b.Files) {
 		before, inA := a.Files[path]
 		after, inB := b.Files[path]
--- a/revision/publisher.go
+++ b/revision/publisher.go
@@ -1,6 +1,8 @@
 package revision
 
 import (
+	"errors"
+	"fmt"
 	"maps"
 	"strings"
 
@@ -61,13 +63,18 @@
 	MaxAttempts int
 }
 
-// Defaults of Request's limits. Ten publishers that race pass within eight merges; with four
-// attempts and the caller's backoff a publish outlasts a short outage of the platform.
+// Defaults of Request's limits.
 const (
-	DefaultMaxMerges   = 8
-	DefaultMaxAttempts = 4
+	// DefaultMaxMerges covers 17 publishers in lock step, where the last loses 16 races.
+	DefaultMaxMerges = 16
+	// DefaultMaxAttempts lets a publish outlast a pause of the platform of a few seconds, given
+	// the caller's growing pauses between attempts.
+	DefaultMaxAttempts = 8
 )
 
+// ErrOutcomeUnknown reports a publish that ended before it was known whether it was accepted.
+var ErrOutcomeUnknown = errors.New("revision: outcome unknown")
+
 // Op names the operation of an effect.
 type Op int
 
@@ -208,8 +215,8 @@
 // giveUp ends a publish. Its error says whether the head may have been written.
 func (p *Publisher) giveUp(r Reply) Effect {
 	if p.swapped != 0 {
-		return p.fail(oops.In("revision").Code("unknown").Wrapf(r.cause(),
-			"platform unavailable: publish %s may have been accepted as version %d", p.request.PublishID, p.swapped))
+		return p.fail(fmt.Errorf("%w: publish %s may have been accepted as version %d: %w",
+			ErrOutcomeUnknown, p.request.PublishID, p.swapped, r.cause()))
 	}
 	return p.fail(oops.In("revision").Code("unavailable").Wrapf(r.cause(), "platform unavailable: nothing was published"))
 }
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -2,16 +2,26 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
-	"github.com/samber/oops"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/bilberrywell/bilberrywell/revision"
 )
 
+// TestMain fixes rapid's seed, so that each run has the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
 // Guards against encodings that differ for equal manifests and against accepting broken ones.
 func TestManifestEncoding(t *testing.T) {
 	m := revision.Manifest{Version: 3, PublishID: "p3", Publisher: "aya", PublishedUnixMilli: 1796342400000,
@@ -155,7 +165,7 @@
 		for i := range publishers {
 			path := fmt.Sprintf("team-%d/a.yaml", rapid.IntRange(0, 3).Draw(t, "path"))
 			digest := revision.Digest(fmt.Append(nil, "content", i))
-			publishers[i] = revision.NewPublisher(revision.Request{PublishID: fmt.Sprint("p", i), Publisher: fmt.Sprint("op", i),
+			publishers[i] = revision.NewPublisher(revision.Request{PublishID: fmt.Sprint("p", i), Publisher: fmt.Sprint("op", i), MaxMerges: 3, MaxAttempts: 2,
 				Edit: revision.Edit{Prefixes: []string{path}, Files: map[string]string{path: digest}}})
 			effects[i] = publishers[i].Start()
 		}
@@ -217,8 +227,7 @@
 			require.Equal(t, 1, accepted, "an accepted publish is in the history")
 			continue
 		}
-		var failure oops.OopsError
-		if !errors.As(e.Err, &failure) || failure.Code() != "unknown" {
+		if !errors.Is(e.Err, revision.ErrOutcomeUnknown) {
 			require.Zero(t, accepted, "%v", e.Err)
 		}
 	}
