Add bilberryctl and the types of the admin interface

Cause: operators need to check, publish and roll back configuration and to see and stop parts of the fleet. Change: internal/adminapi holds paths, JSON bodies and a client of the daemon's admin listener. internal/ctl holds the commands check, publish, diff, rollback, status, timeline, drain, stop, keygen, version and help, with -output json and documented exit codes. publish replaces the published files below each directory's base name and checks the merged bundle as a whole. stop prints the stanza and publishes nothing, because the next publish of the tree would remove it.

--- /dev/null
+++ b/internal/ctl/app.go
@@ -0,0 +1,305 @@
+// Package ctl holds the commands of bilberryctl.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/internal/adminapi"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/revision"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command failed or could not reach an instance or the platform.
+	ExitFailed = 1
+	// ExitUsage means a wrong command line.
+	ExitUsage = 2
+	// ExitFindings means that the files have faults; nothing was published.
+	ExitFindings = 3
+	// ExitConflict means that another publish changed the same files; nothing was published.
+	ExitConflict = 4
+	// ExitUnknown means that the publish may have been accepted; status tells.
+	ExitUnknown = 5
+	// ExitNotInForce means that the publish was accepted but -wait ended before it was in force
+	// on every live instance.
+	ExitNotInForce = 6
+)
+
+const exitHelp = `Exit codes:
+  0  success
+  1  failure, or an instance or the platform cannot be reached
+  2  wrong command line
+  3  the files have faults; nothing was published
+  4  another publish changed the same files; nothing was published
+  5  the publish may have been accepted; see "bilberryctl status"
+  6  accepted, but not yet in force on every live instance when -wait ended
+`
+
+// Environment variables that give defaults of common flags.
+const (
+	envPlatform   = "BILBERRY_PLATFORM"
+	envSecretFile = "BILBERRY_SECRET_FILE"
+)
+
+// App is the command line program with its surroundings.
+type App struct {
+	Stdout, Stderr io.Writer
+	Getenv         func(string) string
+	Now            func() time.Time
+	Random         io.Reader
+	// Sleep waits for d or until ctx ends.
+	Sleep func(ctx context.Context, d time.Duration)
+	// Connect returns the platform's services at a base URL.
+	Connect func(baseURL string) (platform.Store, platform.Directory)
+}
+
+// New returns an App on the real clock, environment and platform.
+func New(stdout, stderr io.Writer) *App {
+	return &App{
+		Stdout: stdout, Stderr: stderr, Getenv: os.Getenv, Now: time.Now, Random: rand.Reader, Sleep: sleep,
+		Connect: func(baseURL string) (platform.Store, platform.Directory) {
+			client := platform.NewHTTP(baseURL, nil)
+			return client, client
+		},
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// command is one command of the program.
+type command struct {
+	name, args, summary, detail string
+	// flags registers the command's own flags; run performs it with the remaining arguments.
+	flags func(c *call, fs *flag.FlagSet)
+	run   func(c *call, ctx context.Context, args []string) error
+	// least and most limit the number of arguments; most < 0 means any number.
+	least, most int
+}
+
+// call is one run of a command with its flags.
+type call struct {
+	*App
+	platformURL, secretFile, output string
+	timeout                         time.Duration
+
+	wait, published             bool
+	publisher, at, target       string
+	length                      time.Duration
+	base                        uint64
+	request, chat, engine, kind string
+	html                        string
+	store                       platform.Store
+	directory                   platform.Directory
+}
+
+// usageError is a wrong command line.
+type usageError string
+
+func (e usageError) Error() string { return string(e) }
+
+// notInForceError lists instances that a published version has not reached.
+type notInForceError struct {
+	version uint64
+	lagging []string
+}
+
+func (e *notInForceError) Error() string {
+	return fmt.Sprintf("version %d is accepted but not in force on %s", e.version, strings.Join(e.lagging, ", "))
+}
+
+// findingsError carries findings to the output.
+type findingsError struct{ findings config.Findings }
+
+func (e *findingsError) Error() string {
+	return fmt.Sprintf("%d findings:\n%s", len(e.findings), e.findings)
+}
+
+// printedError is a failure of a command that has printed its result already.
+type printedError struct{ error }
+
+// Unwrap returns the failure, which determines the exit code.
+func (e *printedError) Unwrap() error { return e.error }
+
+// Run performs the command line (without the program's name) and returns the exit code.
+func (a *App) Run(ctx context.Context, args []string) int {
+	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
+		return a.help(args)
+	}
+	cmd := find(args[0])
+	if cmd == nil {
+		_, _ = fmt.Fprintf(a.Stderr, "bilberryctl: unknown command %q, see \"bilberryctl help\"\n", args[0])
+		return ExitUsage
+	}
+	c := &call{App: a}
+	rest, err := c.parse(cmd, args[1:])
+	if errors.Is(err, flag.ErrHelp) {
+		_, _ = io.WriteString(a.Stdout, cmd.help())
+		return ExitOK
+	}
+	if err == nil {
+		bounded, cancel := context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+		err = cmd.run(c, bounded, rest)
+	}
+	if err != nil {
+		c.reportError(cmd, err)
+	}
+	return exitCode(err)
+}
+
+func find(name string) *command {
+	for _, c := range commands() {
+		if c.name == name {
+			return c
+		}
+	}
+	return nil
+}
+
+// parse reads flags before, between and after the arguments.
+func (c *call) parse(cmd *command, args []string) ([]string, error) {
+	fs := c.flagSet(cmd)
+	var rest []string
+	for {
+		if err := fs.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return nil, err
+			}
+			return nil, usageError(err.Error())
+		}
+		if fs.NArg() == 0 {
+			break
+		}
+		rest = append(rest, fs.Arg(0))
+		args = fs.Args()[1:]
+	}
+	if len(rest) < cmd.least || cmd.most >= 0 && len(rest) > cmd.most {
+		return nil, usageError("wrong number of arguments, usage: " + cmd.usage())
+	}
+	if c.output != "text" && c.output != "json" {
+		return nil, usageError("-output must be text or json")
+	}
+	return rest, nil
+}
+
+func (c *call) flagSet(cmd *command) *flag.FlagSet {
+	fs := flag.NewFlagSet(cmd.name, flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	fs.StringVar(&c.platformURL, "platform", c.Getenv(envPlatform), "base `URL` of the platform (default $"+envPlatform+")")
+	fs.StringVar(&c.secretFile, "secret-file", c.Getenv(envSecretFile), "`file` with the fleet's secret (default $"+envSecretFile+")")
+	fs.StringVar(&c.output, "output", "text", "text or json")
+	fs.DurationVar(&c.timeout, "timeout", time.Minute, "longest time for the whole command")
+	if cmd.flags != nil {
+		cmd.flags(c, fs)
+	}
+	return fs
+}
+
+// connect fills in the platform's services.
+func (c *call) connect() error {
+	if c.store != nil {
+		return nil
+	}
+	if c.platformURL == "" {
+		return usageError("set -platform or $" + envPlatform)
+	}
+	c.store, c.directory = c.Connect(c.platformURL)
+	return nil
+}
+
+// admin returns a client for the instances' admin listeners.
+func (c *call) admin() (*adminapi.Client, error) {
+	if c.secretFile == "" {
+		return nil, usageError("set -secret-file or $" + envSecretFile)
+	}
+	secret, err := os.ReadFile(c.secretFile)
+	if err != nil {
+		return nil, fmt.Errorf("the secret cannot be read: %w", err)
+	}
+	return &adminapi.Client{Secret: string(bytes.TrimSpace(secret))}, nil
+}
+
+// print writes a result as text or as one JSON value.
+func (c *call) print(value any, text string) error {
+	if c.output == "json" {
+		encoder := json.NewEncoder(c.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	_, err := fmt.Fprintln(c.Stdout, strings.TrimRight(text, "\n"))
+	return err
+}
+
+// warn writes a line that does not change the exit code.
+func (c *call) warn(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.Stderr, "bilberryctl: "+format+"\n", args...)
+}
+
+type errorOutput struct {
+	Error    string          `json:"error"`
+	ExitCode int             `json:"exit_code"`
+	Findings config.Findings `json:"findings,omitempty"`
+}
+
+func (c *call) reportError(cmd *command, err error) {
+	var findings *findingsError
+	isFindings := errors.As(err, &findings)
+	var printed *printedError
+	if c.output == "json" && !errors.As(err, &printed) {
+		out := errorOutput{Error: err.Error(), ExitCode: exitCode(err)}
+		if isFindings {
+			out.Findings = findings.findings
+			out.Error = fmt.Sprintf("%d findings", len(findings.findings))
+		}
+		_ = c.print(out, "")
+		return
+	}
+	if isFindings {
+		_, _ = fmt.Fprintln(c.Stderr, findings.findings)
+		return
+	}
+	c.warn("%s: %v", cmd.name, err)
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	var findings *findingsError
+	var conflict *revision.Conflict
+	var lagging *notInForceError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.Is(err, revision.ErrOutcomeUnknown):
+		return ExitUnknown
+	case errors.As(err, &findings):
+		return ExitFindings
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &lagging):
+		return ExitNotInForce
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/internal/ctl/commands.go
@@ -0,0 +1,135 @@
+package ctl
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// commands lists all commands in the order of the help text.
+func commands() []*command {
+	return []*command{
+		{
+			name: "check", args: "DIR...", summary: "check files and report every finding", least: 1, most: -1,
+			detail: `Reads all *.yaml files below the directories and checks them together. Each finding is
+one line file:line:column: message. References to files outside the directories are
+findings, unless -published adds the published files of other directories.`,
+			flags: func(c *call, fs *flag.FlagSet) {
+				fs.BoolVar(&c.published, "published", false, "check together with the published files of other directories")
+			},
+			run: (*call).check,
+		},
+		{
+			name: "publish", args: "DIR...", summary: "publish the files of directories", least: 1, most: -1,
+			detail: `Replaces all published files below each directory's base name by the directory's files;
+files of other directories stay. The result is checked as a whole before it is written.
+A publish that raced with others is merged; files that both changed are a conflict.
+After acceptance the bundle is handed to one instance, so that it spreads even while the
+key-value service is down.`,
+			flags: func(c *call, fs *flag.FlagSet) {
+				c.publishFlags(fs)
+				fs.Uint64Var(&c.base, "base", 0, "`version` that the files were edited from: files that were published since by others and differ are a conflict")
+			},
+			run: (*call).publish,
+		},
+		{
+			name: "diff", args: "DIR...", summary: "show what publish would change", least: 1, most: -1,
+			detail: "Prints one line a file: + added, - removed, ~ changed. Nothing is written.",
+			run:    (*call).diff,
+		},
+		{
+			name: "rollback", args: "VERSION", summary: "publish the files of an earlier version again", least: 1, most: 1,
+			detail: "Publishes a new version with all files of the earlier one. The version number rises.",
+			flags:  (*call).publishFlags, run: (*call).rollback,
+		},
+		{
+			name: "status", summary: "show every instance's state",
+			detail: "Asks every instance in the platform's list. Exits with 1 if a live one cannot be reached.",
+			run:    (*call).status,
+		},
+		{
+			name: "timeline", summary: "print events of all instances",
+			detail: "Prints events as JSON, one a line. The flags select events whose field has the value.",
+			flags: func(c *call, fs *flag.FlagSet) {
+				fs.StringVar(&c.request, "request", "", "only events of this request")
+				fs.StringVar(&c.chat, "chat", "", "only events of this chat")
+				fs.StringVar(&c.engine, "engine", "", "only events of this engine")
+				fs.StringVar(&c.kind, "kind", "", "only events of this kind")
+				fs.StringVar(&c.html, "html", "", "write a page to this `file`")
+			},
+			run: (*call).timeline,
+		},
+		{
+			name: "drain", args: "INSTANCE", summary: "stop an instance without cutting off requests", least: 1, most: 1,
+			detail: "The instance reports not ready, hands over, lets streams end and exits with 0.",
+			run:    (*call).drain,
+		},
+		{
+			name: "stop", args: "ENGINE|INSTANCE", summary: "print the stanza of a planned stop", least: 1, most: 1,
+			detail: `Prints the YAML stanza of a planned stop to add to a file in your tree and publish. It
+publishes nothing itself, because the next publish of your tree would remove a stop that
+the tree lacks. The name is looked up among the published engines, then among the
+platform's instances; -target skips the lookup.`,
+			flags: func(c *call, fs *flag.FlagSet) {
+				fs.StringVar(&c.at, "at", "", "start as `time` 2027-01-10T02:00:00+09:00 (default: the next full minute)")
+				fs.DurationVar(&c.length, "for", 0, "length of the stop, such as 30m (required)")
+				fs.StringVar(&c.target, "target", "", "engine or instance")
+			},
+			run: (*call).stop,
+		},
+		{
+			name: "keygen", summary: "make an API key and print its digest",
+			detail: "The key goes to the customer, the digest into the customer's file. The key is not stored.",
+			run:    (*call).keygen,
+		},
+		{name: "version", summary: "print the program's version", detail: "Prints module version, commit and Go version.", run: (*call).version},
+	}
+}
+
+func (c *call) publishFlags(fs *flag.FlagSet) {
+	fs.BoolVar(&c.wait, "wait", false, "wait until the version is in force on every live instance")
+	fs.StringVar(&c.publisher, "as", c.Getenv("USER"), "`name` of the publisher (default $USER)")
+}
+
+// help prints the overview or a command's help.
+func (a *App) help(args []string) int {
+	if len(args) > 1 {
+		cmd := find(args[1])
+		if cmd == nil {
+			_, _ = fmt.Fprintf(a.Stderr, "bilberryctl: unknown command %q\n", args[1])
+			return ExitUsage
+		}
+		_, _ = io.WriteString(a.Stdout, cmd.help())
+		return ExitOK
+	}
+	var b strings.Builder
+	b.WriteString("bilberryctl publishes configuration to a bilberrywell fleet and shows its state.\n\n" +
+		"Usage: bilberryctl COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:\n")
+	for _, cmd := range commands() {
+		fmt.Fprintf(&b, "  %-9s %s\n", cmd.name, cmd.summary)
+	}
+	b.WriteString("\nSee \"bilberryctl help COMMAND\".\n\n" + exitHelp)
+	if len(args) == 0 {
+		_, _ = io.WriteString(a.Stderr, b.String())
+		return ExitUsage
+	}
+	_, _ = io.WriteString(a.Stdout, b.String())
+	return ExitOK
+}
+
+func (cmd *command) usage() string {
+	return strings.Join(strings.Fields("bilberryctl "+cmd.name+" "+cmd.args+" [FLAGS]"), " ")
+}
+
+// help returns the command's help text with its flags.
+func (cmd *command) help() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Usage: %s\n\n%s\n\nFlags:\n", cmd.usage(), cmd.detail)
+	c := &call{App: &App{Getenv: func(string) string { return "" }}}
+	fs := c.flagSet(cmd)
+	fs.SetOutput(&b)
+	fs.PrintDefaults()
+	b.WriteString("\n" + exitHelp)
+	return b.String()
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,231 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/adminapi"
+	"github.com/bilberrywell/bilberrywell/internal/ctl"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/revision"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+// memory is a key-value service that fails one call.
+type memory struct {
+	platform.Store
+	mutex   sync.Mutex
+	entries map[string]platform.Entry
+	list    []platform.Instance
+	// failAt is the number of the call that fails with fault; calls counts from 1.
+	calls, failAt int
+	fault         string
+}
+
+func (m *memory) step() string {
+	m.calls++
+	if m.calls == m.failAt {
+		return m.fault
+	}
+	return ""
+}
+
+func (m *memory) Get(_ context.Context, key string) (platform.Entry, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.step() != "" {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	if entry, ok := m.entries[key]; ok {
+		return entry, nil
+	}
+	return platform.Entry{}, platform.ErrNotFound
+}
+
+func (m *memory) CompareAndSwap(_ context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	fault := m.step()
+	switch {
+	case fault == "unavailable":
+		return 0, platform.ErrUnavailable
+	case fault == "dropped":
+		return 0, platform.ErrUnknown
+	case m.entries[key].Revision != expect:
+		return 0, platform.ErrConflict
+	}
+	m.entries[key] = platform.Entry{Value: value, Revision: expect + 1}
+	if fault == "answer lost" {
+		return 0, platform.ErrUnknown
+	}
+	return expect + 1, nil
+}
+
+func (m *memory) Instances(context.Context) ([]platform.Instance, error) { return m.list, nil }
+
+// instance is a daemon's admin listener.
+func instance(t *testing.T, m *memory, id string) {
+	adopter := revision.NewAdopter(func(files map[string][]byte) error {
+		_, findings := config.Compile(files)
+		return findings.Err()
+	})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+adminapi.PathStatus, func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "Bearer fleet-secret", r.Header.Get("Authorization"))
+		_ = json.NewEncoder(w).Encode(adminapi.Status{Instance: fleet.InstanceID(id), DataCentre: "sapporo", Ready: true,
+			Version: adopter.Current().Version, Engines: []adminapi.Engine{{ID: "e1", Home: "entry-1", InFlight: 3, Bound: 9}}})
+	})
+	mux.HandleFunc("GET "+adminapi.PathTimeline, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `[{"kind":"grant","engine":"e1","at":%q},{"kind":"end","engine":"e2"}]`, id)
+	})
+	mux.HandleFunc("POST "+adminapi.PathConfig, func(w http.ResponseWriter, r *http.Request) {
+		var request adminapi.ConfigRequest
+		require.NoError(t, json.NewDecoder(r.Body).Decode(&request))
+		manifest, err := revision.Decode(request.Manifest)
+		require.NoError(t, err)
+		result := adopter.Offer(manifest)
+		for _, content := range request.Files {
+			adopter.Add(content)
+		}
+		_ = json.NewEncoder(w).Encode(adminapi.ConfigAnswer{Outcome: result.Outcome.String(), Version: adopter.Current().Version})
+	})
+	mux.HandleFunc("POST "+adminapi.PathDrain, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) })
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	m.list = append(m.list, platform.Instance{ID: fleet.InstanceID(id), AdminAddr: strings.TrimPrefix(server.URL, "http://")})
+}
+
+// session runs commands in a directory of files.
+type session struct {
+	t     *testing.T
+	root  string
+	store *memory
+	log   strings.Builder
+	// pauses is the number of pauses after which a command's context ends.
+	pauses int
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, root: t.TempDir(), store: &memory{entries: map[string]platform.Entry{}}}
+	s.write("secret", "fleet-secret\n")
+	s.write("chat/a.yaml", "services:\n  chat: {kind: chat, model: m, engines: [e1]}\nengines:\n  e1: {addr: \"127.0.0.1:9\", data_centre: d, region: r}\n")
+	s.write("desk/c.yaml", "customers:\n  desk: {rate: 5, services: [chat]}\n")
+	return s
+}
+
+func (s *session) write(name, content string) {
+	require.NoError(s.t, os.MkdirAll(filepath.Dir(filepath.Join(s.root, name)), 0o755))
+	require.NoError(s.t, os.WriteFile(filepath.Join(s.root, name), []byte(content), 0o600))
+}
+
+func (s *session) run(line string) int {
+	var out bytes.Buffer
+	env := map[string]string{"BILBERRY_PLATFORM": "http://127.0.0.1:1", "BILBERRY_SECRET_FILE": s.root + "/secret", "USER": "aya"}
+	app := ctl.New(&out, &out)
+	app.Getenv = func(name string) string { return env[name] }
+	app.Now = func() time.Time { return time.Date(2027, 1, 10, 2, 0, 30, 0, time.UTC) }
+	app.Random = bytes.NewReader(bytes.Repeat([]byte{byte(s.store.calls)}, 64))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	paused := 0
+	app.Sleep = func(context.Context, time.Duration) {
+		if paused++; paused == s.pauses {
+			cancel()
+		}
+	}
+	app.Connect = func(string) (platform.Store, platform.Directory) { return s.store, s.store }
+	code := app.Run(ctx, strings.Fields(strings.ReplaceAll(line, "@", s.root+"/")))
+	fmt.Fprintf(&s.log, "$ bilberryctl %s\n%sexit %d\n\n", line, strings.ReplaceAll(out.String(), s.root, ""), code)
+	return code
+}
+
+// Guards against a changed meaning, output or exit code of any command in an operator's day.
+func TestSessionGolden(t *testing.T) {
+	s := newSession(t)
+	instance(t, s.store, "entry-1")
+	for _, line := range []string{"check @chat @desk", "check @desk", "publish @desk", "publish @chat @desk -wait", "publish @chat -as ben"} {
+		s.run(line)
+	}
+	s.write("desk/c.yaml", "customers:\n  desk: {rate: 7, services: [chat]}\n  new: {rate: 1}\n")
+	s.write("desk/l.yaml", "limits: {queue_length: 9}\n")
+	for _, line := range []string{"diff @desk", "publish @desk -wait -output json", "publish @chat @desk -base 1", "check @desk -published"} {
+		s.run(line)
+	}
+	s.write("chat/a.yaml", "services: {}\n")
+	s.write("desk/c.yaml", "customers:\n  desk: {rate: 8, services: [chat]}\n")
+	for _, line := range []string{"publish @chat", "publish -base 1 @desk", "rollback 1 -wait -as ben", "rollback 9", "rollback x", "diff @desk -output json",
+		"status", "timeline -engine e1", "timeline -html x", "drain entry-1", "drain entry-2", "stop e1 -for 30m",
+		"stop entry-1 -at 2027-01-10T02:00:00+09:00 -for 1h -output json", "stop e1", "stop nothing -for 1s", "keygen",
+		"version extra", "check @none -output json", "frobnicate", "status -colour"} {
+		s.run(line)
+	}
+	s.store.list = append(s.store.list, platform.Instance{ID: "entry-9", AdminAddr: "127.0.0.1:none"})
+	require.Equal(t, ctl.ExitFailed, s.run("status -output json"))
+	golden := "testdata/session.golden"
+	if *update {
+		require.NoError(t, os.MkdirAll("testdata", 0o755))
+		require.NoError(t, os.WriteFile(golden, []byte(s.log.String()), 0o644))
+	}
+	want, err := os.ReadFile(golden)
+	require.NoError(t, err)
+	require.Equal(t, string(want), s.log.String())
+}
+
+// Guards against a fault at any call of a publish that loses it, applies it twice, or is reported wrongly.
+func TestPublishFaultMatrix(t *testing.T) {
+	clean := newSession(t)
+	clean.run("publish @chat")
+	before := clean.store.calls
+	clean.run("publish @chat @desk")
+	steps := clean.store.calls - before
+	for _, fault := range []string{"unavailable", "dropped", "answer lost"} {
+		for step := 1; step <= steps; step++ {
+			s := newSession(t)
+			s.run("publish @chat")
+			s.store.failAt, s.store.fault = s.store.calls+step, fault
+			require.Equal(t, ctl.ExitOK, s.run("publish @chat @desk"), "%s at %d: %s", fault, step, &s.log)
+			head, err := revision.Decode(s.store.entries[revision.HeadKey].Value)
+			require.NoError(t, err)
+			require.Equal(t, uint64(2), head.Version, "%s at %d", fault, step)
+			require.Contains(t, head.Files, "desk/c.yaml")
+			require.Contains(t, s.store.entries, revision.VersionKey(1))
+		}
+	}
+}
+
+// Guards against a wait that ends before the last instance has the version.
+func TestWaitReportsLaggingInstances(t *testing.T) {
+	s := newSession(t)
+	instance(t, s.store, "entry-1")
+	instance(t, s.store, "entry-2")
+	s.pauses = 3
+	require.Equal(t, ctl.ExitNotInForce, s.run("publish @chat -wait"))
+	require.Contains(t, s.log.String(), "version 1 is accepted but not in force on entry-2")
+}
+
+// Guards against a command without help text.
+func TestHelp(t *testing.T) {
+	s := newSession(t)
+	s.run("help")
+	for _, name := range []string{"check", "publish", "diff", "rollback", "status", "timeline", "drain", "stop", "keygen", "version"} {
+		require.Contains(t, s.log.String(), "\n  "+name)
+		require.Equal(t, ctl.ExitOK, s.run("help "+name))
+		require.Equal(t, ctl.ExitOK, s.run(name+" -h"))
+	}
+}
