Load linked directories and refuse files in their place

Cause: a symbolic link given as a directory looked empty, and a file given as a directory was taken under a path that no later publish would replace. Change: the link is resolved before the walk, a file is a finding, and a directory that cannot be read is named as given.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -100,6 +100,11 @@
 	require.Contains(t, text, "none:1:1: cannot be read")
 	_, findings = config.Load(root + "/c/empty")
 	require.Contains(t, findings.String(), "holds no *.yaml file")
+	_, findings = config.Load(root + "/b/x/big.yaml")
+	require.Contains(t, findings.String(), "is not a directory")
+	require.NoError(t, os.Symlink(root+"/b/x", root+"/link"))
+	_, findings = config.Load(root + "/link")
+	require.Contains(t, findings.String(), "link/big.yaml:1:1: has 262145 bytes")
 }
 
 // Guards against input that panics or that neither compiles nor yields findings.
--- a/config/load.go
+++ b/config/load.go
@@ -60,9 +60,19 @@
 		return
 	}
 	l.bundle.Prefixes = append(l.bundle.Prefixes, prefix)
+	// WalkDir does not follow a link at its root.
+	root, err := filepath.EvalSymlinks(absolute)
+	if err != nil {
+		l.report(dir, "cannot be read: %v", cause(err))
+		return
+	}
+	if info, err := os.Stat(root); err == nil && !info.IsDir() {
+		l.report(dir, "is not a directory")
+		return
+	}
 	before := len(l.bundle.Files)
-	_ = filepath.WalkDir(absolute, func(name string, entry fs.DirEntry, err error) error {
-		return l.visit(absolute, prefix, name, entry, err)
+	_ = filepath.WalkDir(root, func(name string, entry fs.DirEntry, err error) error {
+		return l.visit(root, prefix, name, entry, err)
 	})
 	if len(l.bundle.Files) == before && len(l.findings) == 0 {
 		l.report(dir, "the directory holds no *.yaml file")
