Add the demo driver

Cause: the fleet needs one command that runs both example deployments through seven daemons with a planned stop and a kill, and that checks every answer.

Change: internal/demo serves the stand-ins of an example, copies its files with the served addresses, starts the daemons, publishes, drives chats and orders, and reports. -self-check replaces the daemons with a direct route in the driver. What the driver assumes of daemon and CLI is in daemon.go. make demo runs it.

Conclusion: the driver is checked against the stand-ins only.

--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,10 @@
 
 test: fmt vet staticcheck unit
 
+# Runs both example deployments against the stand-ins. It ends the processes it starts.
+demo: build
+	$(GO) build -o $(BIN)/ ./internal/demo/demo
+	$(BIN)/demo -bin $(BIN)
+
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/demo/daemon.go
@@ -0,0 +1,56 @@
+package demo
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/samber/oops"
+	"gopkg.in/yaml.v3"
+)
+
+// What the driver assumes of the daemon and the CLI is in this file only.
+const (
+	daemonBinary = "bilberrywelld"
+	ctlBinary    = "bilberryctl"
+	metricsPath  = "/metrics"
+	// controlBytesMetric counts control bytes, in one or more label sets.
+	controlBytesMetric = "bilberry_control_bytes_total"
+)
+
+// settings is the daemon's settings file.
+type settings struct {
+	Instance        string `yaml:"instance"`
+	DataCentre      string `yaml:"data_centre"`
+	Region          string `yaml:"region"`
+	CallerAddr      string `yaml:"caller_addr"`
+	PeerAddr        string `yaml:"peer_addr"`
+	AdminAddr       string `yaml:"admin_addr"`
+	PlatformURL     string `yaml:"platform_url"`
+	FleetSecretFile string `yaml:"fleet_secret_file"`
+}
+
+// daemonArgs returns the daemon's arguments.
+func daemonArgs(settingsFile string) []string {
+	return []string{"-settings", settingsFile}
+}
+
+// publishArgs returns the CLI's arguments to publish dir.
+func publishArgs(settingsFile, dir string) []string {
+	return []string{"publish", "-settings", settingsFile, dir}
+}
+
+// adminHeader returns the header that the admin listener wants.
+func adminHeader(secret string) (name, value string) {
+	return "Authorization", "Bearer " + secret
+}
+
+// write writes the settings into dir and returns the file's name.
+func (s settings) write(dir string) (string, error) {
+	text, err := yaml.Marshal(s)
+	if err != nil {
+		return "", oops.Wrap(err)
+	}
+	file := filepath.Join(dir, fmt.Sprintf("%s.yaml", s.Instance))
+	return file, oops.Wrap(os.WriteFile(file, text, 0o600))
+}
--- /dev/null
+++ b/internal/demo/demo/main.go
@@ -0,0 +1,61 @@
+// Command demo runs the demo on the example deployments, one after the other. It exits
+// with 1 when an answer was wrong, lost, doubled or cut off without a reason.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bilberrywell/bilberrywell/internal/demo"
+)
+
+func main() {
+	// Children are killed when the thread that started them ends.
+	runtime.LockOSThread()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	options, dirs := parse()
+	for _, dir := range dirs {
+		options.Dir = dir
+		report, err := demo.Run(ctx, options)
+		if err != nil {
+			klog.Exitf("%s: %v", dir, err)
+		}
+		report.Write(os.Stdout)
+		if ctx.Err() != nil {
+			klog.Exit("interrupted")
+		}
+		if report.Failed() {
+			fmt.Println("FAILED")
+			os.Exit(1)
+		}
+	}
+}
+
+func parse() (options demo.Options, dirs []string) {
+	examples := flag.String("examples", "examples", "directory of the example deployments")
+	names := flag.String("names", "kitaminato,fes", "examples to run, separated by commas")
+	flag.StringVar(&options.Bin, "bin", "bin", "directory of the binaries")
+	flag.BoolVar(&options.SelfCheck, "self-check", false, "check the driver: no daemons, a direct route")
+	flag.Uint64Var(&options.Plan.Seed, "seed", 1, "seed of the traffic")
+	flag.IntVar(&options.Plan.Conversations, "conversations", 100, "conversations at the same time")
+	flag.IntVar(&options.Plan.Turns, "turns", 6, "turns of a conversation")
+	flag.IntVar(&options.Plan.Senders, "senders", 10, "senders of orders")
+	flag.IntVar(&options.Plan.Orders, "orders", 30, "orders of a sender")
+	flag.DurationVar(&options.Timeout, "timeout", 28*time.Second, "time for one example")
+	flag.Parse()
+	for _, name := range strings.Split(*names, ",") {
+		dirs = append(dirs, filepath.Join(*examples, name))
+	}
+	return options, dirs
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,198 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+)
+
+// instances is the number of entry instances of both deployments.
+const instances = 7
+
+// router is what the driver sends traffic through.
+type router interface {
+	// bases returns the URLs of the instances.
+	bases() []string
+	// publish puts the files in dir in force.
+	publish(ctx context.Context, dir string) error
+	// kill ends an instance without notice.
+	kill(instance int) error
+	// controlBytes returns the control bytes that an instance has sent so far.
+	controlBytes(ctx context.Context, instance int) (float64, error)
+	// close ends everything that was started.
+	close()
+}
+
+// daemons is a fleet of daemon processes.
+type daemons struct {
+	bin     string
+	dir     string
+	secret  string
+	world   *World
+	list    []platform.Instance
+	urls    []string
+	files   []string
+	process *processes
+}
+
+// startDaemons starts the daemons of a fleet and lists them in the platform.
+func startDaemons(bin, dir string, world *World, example *Example) (*daemons, error) {
+	d := &daemons{bin: bin, dir: dir, secret: rand.Text(), world: world, process: &processes{}}
+	secretFile := filepath.Join(dir, "secret")
+	if err := os.WriteFile(secretFile, []byte(d.secret+"\n"), 0o600); err != nil {
+		return nil, oops.Wrap(err)
+	}
+	places := placesOf(example)
+	for i := range instances {
+		s, err := d.settingsFor(i, places[i%len(places)], secretFile)
+		if err != nil {
+			return nil, err
+		}
+		if err := d.add(s); err != nil {
+			return nil, err
+		}
+	}
+	world.Platform.SetInstances(d.list)
+	for i, file := range d.files {
+		if err := d.process.start(filepath.Join(bin, daemonBinary), daemonArgs(file), d.logFile(i)); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// place is where an engine stands.
+type place struct{ dataCentre, region string }
+
+// placesOf returns the data centres of an example's engines, each once.
+func placesOf(example *Example) []place {
+	var places []place
+	seen := map[place]bool{}
+	for _, service := range example.Services {
+		for _, engine := range service.Engines {
+			p := place{engine.DataCentre, engine.Region}
+			if !seen[p] {
+				seen[p] = true
+				places = append(places, p)
+			}
+		}
+	}
+	return places
+}
+
+func (d *daemons) settingsFor(i int, p place, secretFile string) (settings, error) {
+	addrs, err := freeAddrs(3)
+	if err != nil {
+		return settings{}, err
+	}
+	return settings{
+		Instance:   fmt.Sprintf("entry-%d", i+1),
+		DataCentre: p.dataCentre, Region: p.region,
+		CallerAddr: addrs[0], PeerAddr: addrs[1], AdminAddr: addrs[2],
+		PlatformURL: d.world.PlatformURL, FleetSecretFile: secretFile,
+	}, nil
+}
+
+// freeAddrs returns loopback addresses that were free a moment ago.
+func freeAddrs(n int) ([]string, error) {
+	addrs := make([]string, n)
+	for i := range addrs {
+		listener, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, oops.Wrap(err)
+		}
+		// All listeners stay open until the end, so that no address comes twice.
+		defer func() { _ = listener.Close() }()
+		addrs[i] = listener.Addr().String()
+	}
+	return addrs, nil
+}
+
+func (d *daemons) add(s settings) error {
+	file, err := s.write(d.dir)
+	if err != nil {
+		return err
+	}
+	d.files = append(d.files, file)
+	d.urls = append(d.urls, "http://"+s.CallerAddr)
+	d.list = append(d.list, platform.Instance{
+		ID: fleet.InstanceID(s.Instance), PeerAddr: s.PeerAddr, AdminAddr: s.AdminAddr,
+		DataCentre: fleet.DataCentre(s.DataCentre), Region: fleet.Region(s.Region),
+	})
+	return nil
+}
+
+func (d *daemons) logFile(i int) string {
+	return filepath.Join(d.dir, fmt.Sprintf("entry-%d.log", i+1))
+}
+
+func (d *daemons) bases() []string { return d.urls }
+
+func (d *daemons) publish(ctx context.Context, dir string) error {
+	return d.process.run(ctx, filepath.Join(d.bin, ctlBinary), publishArgs(d.files[0], dir))
+}
+
+// kill kills a daemon. The platform's list drops it once its lag has passed.
+func (d *daemons) kill(instance int) error {
+	if err := d.process.kill(instance); err != nil {
+		return err
+	}
+	left := slices.Delete(slices.Clone(d.list), instance, instance+1)
+	d.world.Platform.SetInstances(left)
+	return nil
+}
+
+// controlBytes sums the label sets of the metric.
+func (d *daemons) controlBytes(ctx context.Context, instance int) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	url := "http://" + d.list[instance].AdminAddr + metricsPath
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, oops.Wrap(err)
+	}
+	r.Header.Set(adminHeader(d.secret))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, oops.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return sumMetric(bufio.NewScanner(response.Body), controlBytesMetric)
+}
+
+func sumMetric(lines *bufio.Scanner, name string) (float64, error) {
+	sum, found := 0.0, false
+	for lines.Scan() {
+		rest, ok := strings.CutPrefix(lines.Text(), name)
+		fields := strings.Fields(rest)
+		if !ok || len(fields) == 0 || (rest[0] != ' ' && rest[0] != '{') {
+			continue
+		}
+		value, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+		if err != nil {
+			return 0, oops.Wrapf(err, "metric %s", name)
+		}
+		sum, found = sum+value, true
+	}
+	if !found {
+		return 0, oops.Errorf("metric %s is missing", name)
+	}
+	return sum, lines.Err()
+}
+
+func (d *daemons) close() { d.process.close() }
--- a/internal/standin/enginesim/slots.go
+++ b/internal/standin/enginesim/slots.go
@@ -100,6 +100,13 @@
 	e.noteLoad()
 }
 
+// InFlight returns the number of requests that run now, without the load lag.
+func (e *Engine) InFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 func (e *Engine) lifetime() context.Context {
 	e.mu.Lock()
 	defer e.mu.Unlock()
