Pass the peer's greeting to OnUp

Cause: the reducer needs region and address of peers that the list lacks. Change: OnUp receives the whole hello. Before and after: the package's tests pass. Conclusion: no other caller.

--- a/internal/peer/loopback_test.go
+++ b/internal/peer/loopback_test.go
@@ -28,7 +28,7 @@
 	client := New(Config{
 		Self: wire.Hello{Instance: "a", Incarnation: 1}, Secret: "s",
 		TLS:  https.Client().Transport.(*http.Transport).TLSClientConfig,
-		OnUp: func(id fleet.InstanceID, _ uint64) { up <- id },
+		OnUp: func(hello wire.Hello) { up <- hello.Instance },
 	})
 	defer client.Close()
 	client.SetTargets([]Target{{ID: "b", Addr: https.Listener.Addr().String(), Dial: true}})
@@ -62,7 +62,7 @@
 	s := &star{}
 	up := make(chan struct{}, links)
 	s.hub = New(Config{Self: wire.Hello{Instance: "hub", Incarnation: 1}, Secret: "s", Budget: unlimited,
-		Interval: time.Hour, OnUp: func(fleet.InstanceID, uint64) { up <- struct{}{} }})
+		Interval: time.Hour, OnUp: func(wire.Hello) { up <- struct{}{} }})
 	var targets []Target
 	for i := range links {
 		id := fleet.InstanceID(fmt.Sprintf("peer-%d", i))
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -56,7 +56,7 @@
 	OnMessage func(from fleet.InstanceID, incarnation uint64, m wire.Message)
 	// OnUp is called when a link is open, before its first OnMessage. State that is sent
 	// as changes must be sent in full again.
-	OnUp func(instance fleet.InstanceID, incarnation uint64)
+	OnUp func(hello wire.Hello)
 	// OnDown is called when a link closed, also before OnUp of the link that replaces it.
 	OnDown func(instance fleet.InstanceID, incarnation uint64)
 }
@@ -262,7 +262,7 @@
 	p.link.Store(l)
 	klog.V(1).InfoS("Peer link up", "peer", l.hello.Instance, "incarnation", l.hello.Incarnation)
 	if m.config.OnUp != nil {
-		m.config.OnUp(l.hello.Instance, l.hello.Incarnation)
+		m.config.OnUp(l.hello)
 	}
 	return true
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -118,7 +118,7 @@
 		Secret: "s", Dial: nw.dial,
 		// Without jitter both sides of a simultaneous dial keep step, which is the worst case.
 		Jitter:    func(limit time.Duration) time.Duration { return limit },
-		OnUp:      func(i fleet.InstanceID, inc uint64) { n.note("up-%s-%d", i, inc) },
+		OnUp:      func(h wire.Hello) { n.note("up-%s-%d", h.Instance, h.Incarnation) },
 		OnDown:    func(i fleet.InstanceID, inc uint64) { n.note("down-%s-%d", i, inc) },
 		OnMessage: func(i fleet.InstanceID, inc uint64, m wire.Message) { n.note("%s-%s-%d", m.Kind(), i, inc) },
 	})
