Crash on a callback's panic, and test batching and late messages

Cause: conc holds a panic back until Wait, so a panic in a callback would leave a link open that nobody reads. Two mutations, no batching and no check for messages after OnDown, passed the tests. Change: the manager uses sync.WaitGroup; tests for both cases. Before and after: both mutations passed before and fail now; go test -count=50 and -race -count=10 of ./internal/peer pass. Conclusion: a panic ends the process, as elsewhere, and its peers take over.

--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
@@ -81,7 +80,9 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     conc.WaitGroup
+	// wg is the standard one: conc would hold the panic of a callback back until Close, and
+	// the process would run on with links that nobody serves.
+	wg sync.WaitGroup
 
 	mu     sync.RWMutex
 	closed bool
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -213,13 +213,40 @@
 		defer renewed.stop()
 		old.SetTargets(target("a"))
 		require.Equal(t, "up-b-5", a.events())
+		former := a.linkOf("b")
 		renewed.SetTargets(target("a"))
 		require.Equal(t, "down-b-5 up-b-6", a.events())
+		former.dispatch(&wire.Release{})
 		beat(2, a, renewed)
 		require.NotContains(t, a.events(), "b-5")
 	})
 }
 
+// Guards against a delay of single messages and against a frame for each message of a burst.
+func TestMessagesShareFrames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		a, b := start(nw, "a", 1), start(nw, "b", 2)
+		defer a.stop()
+		defer b.stop()
+		a.SetTargets(target("b"))
+		b.events()
+		time.Sleep(time.Second)
+		begin, frames := time.Now(), a.counters.frames[sent].Get()
+		require.True(t, a.Send("b", &wire.Admit{}))
+		require.Equal(t, "admit-a-1", b.events())
+		for range 50 {
+			require.True(t, a.Send("b", &wire.Admit{}))
+			synctest.Wait()
+		}
+		require.Empty(t, b.events())
+		time.Sleep(batchWindow)
+		require.Equal(t, 50, strings.Count(b.events(), "admit-a"))
+		require.Equal(t, batchWindow, time.Since(begin))
+		require.Equal(t, frames+2, a.counters.frames[sent].Get())
+	})
+}
+
 // Guards against links to instances that left the plan.
 func TestFormerTargetIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
