Bound the cost of lagged values and of answers in the stand-ins

Cause: an engine under load spent its time on copying the history of its load report with each change, and 1,000 answers of 1,000,000 tokens filled 31.5 GB.

Change: a history drops its old half at once and is searched by bisection; an engine keeps no more of it than its lag. An answer has at most 100,000 tokens.

--- a/internal/standin/enginesim/answer.go
+++ b/internal/standin/enginesim/answer.go
@@ -39,6 +39,8 @@
 	// shortestAnswer and longestAnswer bound the tokens of an answer without a set length.
 	shortestAnswer = 24
 	longestAnswer  = 64
+	// maxAnswer bounds an answer, as its tokens are held in memory while it runs.
+	maxAnswer = 100_000
 	// bytesPerToken is the mean length of a token of a prompt.
 	bytesPerToken = 4
 	// messageOverhead is the number of tokens that mark a message's role and end.
@@ -52,7 +54,7 @@
 	random := rand.New(rand.NewPCG(seed, seed))
 	count := shortestAnswer + random.IntN(longestAnswer-shortestAnswer+1)
 	if maxTokens > 0 {
-		count = maxTokens
+		count = min(maxTokens, maxAnswer)
 	}
 	tokens := make([]string, count)
 	for i := range tokens {
--- a/internal/standin/enginesim/engine.go
+++ b/internal/standin/enginesim/engine.go
@@ -145,7 +145,7 @@
 		Incarnation: e.number, Model: e.options.Model, Version: e.options.Version,
 		Adapters: append([]string{}, e.options.Adapters...), Role: e.options.Role,
 		Draining: e.faults.draining,
-	}, e.options.LoadLag+time.Second)
+	}, e.options.LoadLag)
 }
 
 // Load returns the load of the load lag ago.
--- a/internal/standin/simutil/lagged.go
+++ b/internal/standin/simutil/lagged.go
@@ -2,7 +2,10 @@
 // parameters and a loopback server.
 package simutil
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Lagged keeps the recent values of a variable, so that a stand-in can serve a value of
 // some time ago. It is not safe for concurrent use.
@@ -19,8 +22,8 @@
 // see are dropped.
 func (l *Lagged[T]) Set(now time.Time, value T, keep time.Duration) {
 	l.history = append(l.history, stamped[T]{now, value})
-	first := l.index(now.Add(-keep))
-	if first > 0 {
+	// Dropping half at once keeps the cost of a value constant on average.
+	if first := l.index(now.Add(-keep)); first > len(l.history)/2 {
 		l.history = append(l.history[:0], l.history[first:]...)
 	}
 }
@@ -37,9 +40,6 @@
 
 // index returns the index of the newest value at or before at, or 0.
 func (l *Lagged[T]) index(at time.Time) int {
-	i := len(l.history) - 1
-	for i > 0 && l.history[i].at.After(at) {
-		i--
-	}
-	return max(i, 0)
+	later := sort.Search(len(l.history), func(i int) bool { return l.history[i].at.After(at) })
+	return max(later-1, 0)
 }
