Settle a finished run before its last bytes are written

Cause: the engine stand-in cached a conversation, ended the log entry and gave back the slot after the client already had the done mark.

Change: a finished run settles before the usage chunk and the done mark, and the log is corrected when they cannot be written. The service stand-in marks a call as answered before it writes the answer.

Conclusion: logs, cache and slots are settled once a client has the whole answer.

--- a/internal/standin/enginesim/chat.go
+++ b/internal/standin/enginesim/chat.go
@@ -51,13 +51,13 @@
 	priority int
 	tokens   []string
 	// from is the number of tokens that were produced before this run.
-	from     int
-	cached   int
-	written  int
-	finished bool
-	plan     plan
-	entry    *LogEntry
-	life     context.Context
+	from    int
+	cached  int
+	written int
+	settled bool
+	plan    plan
+	entry   *LogEntry
+	life    context.Context
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -69,9 +69,8 @@
 	if !e.admit(w, r, current) {
 		return
 	}
-	defer e.release()
 	e.begin(current)
-	defer e.finish(current)
+	defer e.settle(current, false)
 	if e.prefill(r, current) {
 		e.answer(w, r, current)
 	}
--- a/internal/standin/enginesim/log.go
+++ b/internal/standin/enginesim/log.go
@@ -48,19 +48,37 @@
 	e.runs++
 }
 
-// finish ends a run in the log and caches the conversation of a finished one.
-func (e *Engine) finish(r *run) {
+// settle ends a run once: it caches the conversation of a finished run, ends its log entry
+// and gives back its slot. A finished run settles before its last bytes are written, so
+// that a client that has them finds the cache, the log and the slot as they will stay.
+func (e *Engine) settle(r *run, finished bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r.entry.Tokens, r.entry.Finished, r.entry.Ended = r.written-r.from, r.finished, true
-	if !r.finished || e.number != r.entry.Incarnation {
+	if r.settled {
 		return
 	}
+	r.settled = true
+	r.entry.Tokens, r.entry.Finished, r.entry.Ended = r.written-r.from, finished, true
+	if finished && e.number == r.entry.Incarnation {
+		e.remember(r)
+	}
+	e.passOn()
+}
+
+// remember caches the conversation of a run, its answer included. The caller holds the lock.
+func (e *Engine) remember(r *run) {
 	answer := Message{"assistant", Content(AnswerText(r.request.Messages, r.request.MaxTokens))}
 	messages := append(r.request.Messages[:len(r.request.Messages):len(r.request.Messages)], answer)
 	e.cache.store(chainOf(r.request.Model, messages), r.chat)
 }
 
+// unfinish corrects the log when the last bytes of an answer could not be written.
+func (e *Engine) unfinish(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.entry.Finished = false
+}
+
 // Log returns the runs so far, in the order of their start.
 func (e *Engine) Log() []LogEntry {
 	e.mu.Lock()
--- a/internal/standin/enginesim/slots.go
+++ b/internal/standin/enginesim/slots.go
@@ -82,13 +82,6 @@
 	e.passOn()
 }
 
-// release gives back a slot.
-func (e *Engine) release() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.passOn()
-}
-
 // passOn gives a slot to the next waiter or frees it. The caller holds the lock.
 func (e *Engine) passOn() {
 	if len(e.waiters) > 0 {
--- a/internal/standin/enginesim/stream.go
+++ b/internal/standin/enginesim/stream.go
@@ -102,8 +102,8 @@
 	message := &Message{"assistant", Content(text)}
 	completion := current.completion("chat.completion", Choice{Message: message, FinishReason: &stop})
 	completion.Usage = current.usage()
+	e.settle(current, true)
 	simutil.WriteJSON(w, http.StatusOK, completion)
-	current.finished = r.Context().Err() == nil
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, current *run, s *sequence) {
@@ -123,7 +123,10 @@
 			return
 		}
 	}
-	current.finished = out.done() && r.Context().Err() == nil
+	e.settle(current, true)
+	if !out.done() {
+		e.unfinish(current)
+	}
 }
 
 // cut returns how many of the produced tokens to write, and whether a fault ends the
--- a/internal/standin/servicesim/http.go
+++ b/internal/standin/servicesim/http.go
@@ -129,8 +129,8 @@
 	if s.spend(&s.loseAnswer) {
 		panic(http.ErrAbortHandler)
 	}
-	simutil.WriteJSON(w, http.StatusOK, receipt)
 	s.answered(c)
+	simutil.WriteJSON(w, http.StatusOK, receipt)
 }
 
 func (s *Service) begin(c *call) {
--- a/internal/standin/servicesim/service.go
+++ b/internal/standin/servicesim/service.go
@@ -63,7 +63,7 @@
 	Path      string `json:"path"`
 	// Effect says that the call took effect.
 	Effect bool `json:"effect"`
-	// Answered says that an answer was written.
+	// Answered says that an answer is being written or was written.
 	Answered bool `json:"answered"`
 }
 
