--- /dev/null
+++ b/admission/limits.go
@@ -0,0 +1,12 @@
+package admission
+
+// SetLimits changes the load factor and the queue length. Running and waiting attempts
+// stay; zero values keep the present limit.
+func (h *Home) SetLimits(factor float64, queueLength int) {
+	if factor > 0 {
+		h.config.Factor = factor
+	}
+	if queueLength > 0 {
+		h.config.QueueLength = queueLength
+	}
+}
