Send a logical time stamp with each frame

Cause: the merged time line must respect cause and effect in spite of clock skew. Change: a Stamp message heads each frame; heartbeats carry their interval, so that a peer with a longer one is not taken for silent.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -125,7 +125,13 @@
 }
 
 func (l *link) dispatch(m wire.Message) {
-	if m.Kind() == wire.KindHello {
+	switch m := m.(type) {
+	case *wire.Hello:
+		return
+	case *wire.Stamp:
+		if l.m.config.OnStamp != nil {
+			l.m.config.OnStamp(m.Time)
+		}
 		return
 	}
 	l.deliver.Lock()
@@ -182,17 +188,31 @@
 func (l *link) writeFrame(now time.Duration) (wrote bool, wait time.Duration) {
 	buffer := frames.Get().(*[]byte)
 	defer recycleFrame(buffer)
-	frame, wait := l.outbox.collect((*buffer)[:0], now, l.m.budget, l.countSent)
+	stamp := l.m.stamp((*buffer)[:0])
+	frame, wait := l.outbox.collect(stamp, now, l.m.budget, l.countSent)
 	*buffer = frame
-	if len(frame) == 0 {
+	if len(frame) == len(stamp) {
 		return false, wait
 	}
+	l.m.counters.message(sent, wire.KindStamp, len(stamp))
 	l.m.counters.frame(sent, headerBytes(len(frame), l.dialed()))
 	// An error closes the connection, which ends read and thereby the link.
 	_ = l.conn.Write(context.Background(), websocket.MessageBinary, frame)
 	return true, wait
 }
 
+// stamp appends the logical time that goes with a frame.
+func (m *Manager) stamp(frame []byte) []byte {
+	if m.config.Stamp == nil {
+		return frame
+	}
+	stamped, err := wire.Append(frame, &wire.Stamp{Time: m.config.Stamp()})
+	if err != nil {
+		return frame
+	}
+	return stamped
+}
+
 func (l *link) countSent(p packet) {
 	l.m.counters.message(sent, p.kind, len(p.data))
 }
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -51,7 +51,11 @@
 	// Metrics receives the manager's metrics, a new set if nil.
 	Metrics *metrics.Set
 
-	// OnMessage is called for each message except hello.
+	// Stamp returns the logical time that is sent with each frame, and OnStamp is called with
+	// that of a received frame before its messages. Both may be nil.
+	Stamp   func() uint64
+	OnStamp func(stamp uint64)
+	// OnMessage is called for each message except hello and stamps.
 	OnMessage func(from fleet.InstanceID, incarnation uint64, m wire.Message)
 	// OnUp is called when a link is open, before its first OnMessage. State that is sent
 	// as changes must be sent in full again.
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -60,6 +60,9 @@
 // Kind implements Message.
 func (*CancelAdmit) Kind() Kind { return KindCancelAdmit }
 
+// Kind implements Message.
+func (*Stamp) Kind() Kind { return KindStamp }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -103,6 +106,8 @@
 		return &EngineState{}
 	case KindCancelAdmit:
 		return &CancelAdmit{}
+	case KindStamp:
+		return &Stamp{}
 	}
 	return nil
 }
@@ -150,6 +155,8 @@
 		return "engine_state"
 	case KindCancelAdmit:
 		return "cancel_admit"
+	case KindStamp:
+		return "stamp"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -32,6 +32,7 @@
 	KindBlob           Kind = 18
 	KindEngineState    Kind = 19
 	KindCancelAdmit    Kind = 20
+	KindStamp          Kind = 21
 )
 
 // Hello is the first message on a link, in both directions.
@@ -47,6 +48,12 @@
 	Addr string `cbor:"6,keyasint,omitempty"`
 }
 
+// Stamp is the sender's hybrid logical time, once per frame. It lets the time lines of
+// instances be merged in an order that respects cause and effect.
+type Stamp struct {
+	Time uint64 `cbor:"1,keyasint"`
+}
+
 // Heartbeat tells that the sender is alive and what changed since its previous heartbeat on this link.
 type Heartbeat struct {
 	Sequence      uint64 `cbor:"1,keyasint"`
@@ -59,6 +66,8 @@
 	Relieved  []fleet.EngineID `cbor:"6,keyasint,omitempty"`
 	// Full marks a heartbeat that carries complete state in place of changes.
 	Full bool `cbor:"7,keyasint,omitempty"`
+	// IntervalMs is the sender's longest time between heartbeats.
+	IntervalMs uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // PoolTotal is the load of a service's engines that one instance is home of.
