--- a/cmd/bilberrywelld/main.go
+++ b/cmd/bilberrywelld/main.go
@@ -1,3 +1,68 @@
+// Command bilberrywelld is the daemon of one instance.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bilberrywell/bilberrywell/internal/daemon"
+	"github.com/bilberrywell/bilberrywell/internal/settings"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	klog.InitFlags(nil)
+	path := flag.String("settings", "bilberrywelld.yaml", "path of the settings file")
+	check := flag.Bool("check", false, "check the settings and exit")
+	showVersion := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	defer klog.Flush()
+	if *showVersion {
+		fmt.Println(version)
+		return exitOK
+	}
+	s, findings := settings.Load(*path)
+	if err := findings.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if *check {
+		return exitOK
+	}
+	return serve(s)
+}
+
+// serve runs the daemon until SIGTERM or SIGINT. A second signal ends it at once.
+func serve(s settings.Settings) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	d, err := daemon.New(s, version)
+	if err == nil {
+		err = d.Run(ctx)
+	}
+	if err != nil {
+		klog.ErrorS(err, "daemon failed")
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/core/claims.go
@@ -0,0 +1,447 @@
+package core
+
+import (
+	"errors"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/affinity"
+	"github.com/bilberrywell/bilberrywell/claim"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+)
+
+const (
+	// claimDeadline is the time after which a claim that is not stored is refused.
+	claimDeadline = time.Second
+	// claimTimeout is the time to wait for the owner's reply; it leaves room for the owner's own deadline.
+	claimTimeout = claimDeadline + 500*time.Millisecond
+	// joinInterval is the time between looks at a call that runs elsewhere.
+	joinInterval = 200 * time.Millisecond
+	// finishRetry is the time after which an unconfirmed end of a claim is sent again.
+	finishRetry = time.Second
+	// holderPatience is the time since start before an instance that was never heard is taken for gone.
+	holderPatience = 30 * time.Second
+)
+
+// requestClaim is the claim of a request at its entry.
+type requestClaim struct {
+	key   claim.Key
+	id    uint64
+	nonce uint64
+	owner fleet.InstanceID
+	// held tells that the claim was granted and its end is not yet reported.
+	held bool
+}
+
+// pendingEnd is the end of a claim that waits for its confirmation.
+type pendingEnd struct {
+	key     claim.Key
+	nonce   uint64
+	end     wire.ClaimEnd
+	outcome *wire.Outcome
+	owner   fleet.InstanceID
+	sent    time.Duration
+}
+
+// claimant is the instance that waits for a reply of a partition.
+type claimant struct {
+	instance fleet.InstanceID
+	id       uint64
+}
+
+type claimRef struct {
+	key   claim.Key
+	nonce uint64
+}
+
+// claimState is the state of the claim role, both as entry and as writer of partitions.
+type claimState struct {
+	lastID    uint64
+	waiting   map[uint64]*request
+	ends      map[uint64]*pendingEnd
+	writers   map[int]*claim.Partition
+	claimants map[claimRef]claimant
+	nextCheck time.Duration
+}
+
+func (s *claimState) init() {
+	s.waiting = make(map[uint64]*request)
+	s.ends = make(map[uint64]*pendingEnd)
+	s.writers = make(map[int]*claim.Partition)
+	s.claimants = make(map[claimRef]claimant)
+}
+
+// claimOwner returns the instance that batches the claims of a partition.
+func (c *Core) claimOwner(partition int) fleet.InstanceID {
+	live := c.homeCandidates(c.cfg.Region)
+	return affinity.HomeOf(fleet.EngineID("claims-"+strconv.Itoa(partition)), "", live)
+}
+
+// reachableOwner returns the owner of a partition, or this instance when the owner has no link:
+// any instance may write a partition.
+func (c *Core) reachableOwner(partition int) fleet.InstanceID {
+	owner := c.claimOwner(partition)
+	if owner != c.cfg.Instance && !c.isLinked(owner) {
+		return c.cfg.Instance
+	}
+	return owner
+}
+
+// startClaim asks for the right to run a non-idempotent call.
+func (c *Core) startClaim(r *request) {
+	if c.mono() >= r.waitLimit {
+		c.fail(r, FailureUnknown, CodeOutcomeUnknown, "a call with the same key still runs", overloadRetryAfter)
+		return
+	}
+	c.claims.lastID++
+	key := claim.KeyOf(r.call.Customer, r.call.Service, r.call.IdempotencyKey)
+	r.claim = requestClaim{
+		key:   key,
+		id:    c.claims.lastID,
+		nonce: c.rng.Uint64(),
+		owner: c.reachableOwner(claim.PartitionOf(key)),
+	}
+	r.stage = stageClaim
+	c.claims.waiting[r.claim.id] = r
+	c.setTimer(r, c.mono()+claimTimeout)
+	c.send(r.claim.owner, &wire.ClaimRequest{
+		ID:          r.claim.id,
+		Key:         key[:],
+		Fingerprint: r.call.Fingerprint,
+		Attempt:     c.attemptID(r.claim.id),
+		Nonce:       r.claim.nonce,
+	})
+}
+
+// claimRequested passes an entry's claim to the partition's writer.
+func (c *Core) claimRequested(from fleet.InstanceID, incarnation uint64, m *wire.ClaimRequest) {
+	if len(m.Key) != len(claim.Key{}) {
+		return
+	}
+	key := claim.Key(m.Key)
+	c.claims.claimants[claimRef{key, m.Nonce}] = claimant{from, m.ID}
+	partition := claim.PartitionOf(key)
+	c.claimEffects(partition, c.writer(partition).Claim(c.mono(), claim.Request{
+		Key:         key,
+		Fingerprint: m.Fingerprint,
+		Holder:      claim.Holder{Instance: from, Incarnation: incarnation},
+		Attempt:     m.Attempt,
+		Nonce:       m.Nonce,
+	}))
+}
+
+// claimFinished passes the end of a claimed call to the partition's writer.
+func (c *Core) claimFinished(from fleet.InstanceID, m *wire.ClaimFinish) {
+	if len(m.Key) != len(claim.Key{}) {
+		return
+	}
+	key := claim.Key(m.Key)
+	c.claims.claimants[claimRef{key, m.Nonce}] = claimant{from, m.ID}
+	partition := claim.PartitionOf(key)
+	writer := c.writer(partition)
+	switch m.End {
+	case wire.ClaimEndDone:
+		c.claimEffects(partition, writer.Finish(c.mono(), key, m.Nonce, claimOutcome(m.Outcome)))
+	case wire.ClaimEndReleased:
+		c.claimEffects(partition, writer.Release(c.mono(), key, m.Nonce))
+	case wire.ClaimEndUnknown:
+		c.claimEffects(partition, writer.MarkUnknown(c.mono(), key, m.Nonce))
+	}
+}
+
+func claimOutcome(o *wire.Outcome) claim.Outcome {
+	if o == nil {
+		return claim.Outcome{StatusOnly: true}
+	}
+	return claim.Outcome{Status: o.Status, ContentType: o.ContentType, Body: o.Body, StatusOnly: o.Truncated}
+}
+
+// writer returns the state machine of a partition.
+func (c *Core) writer(partition int) *claim.Partition {
+	w := c.claims.writers[partition]
+	if w == nil {
+		w = claim.New(claim.Config{
+			Partition:  partition,
+			Writer:     claim.Holder{Instance: c.cfg.Instance, Incarnation: c.cfg.Incarnation},
+			BatchEvery: c.cfg.ClaimBatch,
+			Deadline:   claimDeadline,
+			Retention:  c.cfg.ClaimRetention,
+		}, c.rng)
+		c.claims.writers[partition] = w
+		c.claimEffects(partition, w.Tick(c.mono(), c.now.Wall.UnixMilli()))
+	}
+	return w
+}
+
+// claimEffects carries out the effects of a partition's writer.
+func (c *Core) claimEffects(partition int, effects []claim.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case claim.Read:
+			o := c.ops.add(op{kind: opClaimRead, partition: partition, call: e.Call})
+			c.emit(StoreGet{Op: o, Key: e.Key})
+		case claim.Swap:
+			o := c.ops.add(op{kind: opClaimSwap, partition: partition, call: e.Call})
+			c.emit(StoreSwap{Op: o, Key: e.Key, Value: e.Value, Expect: e.Expect})
+		case claim.Reply:
+			c.claimReply(e)
+		}
+	}
+}
+
+// claimAnswer feeds an answer of the key-value service to the partition's writer.
+func (c *Core) claimAnswer(o op, ev StoreReply) {
+	w := c.claims.writers[o.partition]
+	if w == nil {
+		return
+	}
+	if o.kind == opClaimRead {
+		entry := claim.Entry{Value: ev.Entry.Value, Revision: ev.Entry.Revision}
+		c.claimEffects(o.partition, w.Loaded(c.mono(), o.call, entry, claimErr(ev.Err)))
+		return
+	}
+	c.claimEffects(o.partition, w.Swapped(c.mono(), o.call, ev.Entry.Revision, claimErr(ev.Err)))
+}
+
+func claimErr(err error) claim.ErrKind {
+	switch {
+	case err == nil:
+		return claim.OK
+	case errors.Is(err, platform.ErrNotFound):
+		return claim.NotFound
+	case errors.Is(err, platform.ErrConflict):
+		return claim.Conflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return claim.Failed
+	}
+	return claim.Lost
+}
+
+var claimStatus = map[claim.ReplyKind]wire.ClaimStatus{
+	claim.Granted:     wire.ClaimGranted,
+	claim.Recorded:    wire.ClaimRecorded,
+	claim.Running:     wire.ClaimRunning,
+	claim.Unknown:     wire.ClaimUnknown,
+	claim.Unavailable: wire.ClaimUnavailable,
+	claim.Mismatch:    wire.ClaimMismatch,
+	claim.Stored:      wire.ClaimStored,
+}
+
+// claimReply sends a writer's reply to the instance that waits for it.
+func (c *Core) claimReply(e claim.Reply) {
+	ref := claimRef{e.Key, e.Nonce}
+	to, ok := c.claims.claimants[ref]
+	if !ok {
+		return
+	}
+	delete(c.claims.claimants, ref)
+	m := &wire.ClaimReply{ID: to.id, Status: claimStatus[e.Kind], Unsettled: e.Unsettled}
+	if e.Kind == claim.Recorded {
+		m.Outcome = &wire.Outcome{
+			Status:      e.Outcome.Status,
+			ContentType: e.Outcome.ContentType,
+			Body:        e.Outcome.Body,
+			Truncated:   e.Outcome.StatusOnly,
+		}
+	}
+	c.send(to.instance, m)
+}
+
+// claimReplied handles the owner's answer at the entry.
+func (c *Core) claimReplied(_ fleet.InstanceID, m *wire.ClaimReply) {
+	if m.Status == wire.ClaimStored {
+		delete(c.claims.ends, m.ID)
+		return
+	}
+	r := c.claims.waiting[m.ID]
+	if r == nil || r.claim.id != m.ID || r.stage != stageClaim {
+		c.count(CounterLateReplies, 1)
+		return
+	}
+	delete(c.claims.waiting, m.ID)
+	c.stopTimer(r)
+	switch m.Status {
+	case wire.ClaimGranted:
+		c.count(CounterClaimsGranted, 1)
+		r.claim.held = true
+		c.startAdmission(r)
+	case wire.ClaimRecorded:
+		c.replay(r, m.Outcome)
+	case wire.ClaimRunning:
+		c.pause(r, c.jitter(joinInterval), thenClaim)
+	case wire.ClaimUnknown:
+		c.fail(r, FailureUnknown, CodeOutcomeUnknown, "an earlier call with this key may have run; its outcome was not recorded", 0)
+	case wire.ClaimMismatch:
+		c.fail(r, FailureNotRun, CodeKeyReused, "the idempotency key was used with another request", 0)
+	case wire.ClaimUnavailable:
+		if m.Unsettled {
+			c.reportEnd(r.claim, wire.ClaimEndReleased, nil)
+		}
+		c.claimUnavailable(r)
+	}
+}
+
+func (c *Core) replay(r *request, outcome *wire.Outcome) {
+	if outcome == nil {
+		c.fail(r, FailureUnknown, CodeOutcomeUnknown, "the recorded outcome could not be read", overloadRetryAfter)
+		return
+	}
+	c.count(CounterClaimsReplayed, 1)
+	c.emit(ReplayOutcome{Request: r.id, Outcome: *outcome})
+	c.finish(r, "replayed")
+}
+
+// claimTimedOut gives up on a claim. A late grant is given back by its nonce.
+func (c *Core) claimTimedOut(r *request) {
+	delete(c.claims.waiting, r.claim.id)
+	c.reportEnd(r.claim, wire.ClaimEndReleased, nil)
+	c.claimUnavailable(r)
+}
+
+// claimUnavailable refuses a call that can't be claimed, unless every engine of the
+// service checks idempotency keys itself.
+func (c *Core) claimUnavailable(r *request) {
+	c.count(CounterClaimsUnavailable, 1)
+	if !c.checksKeys(r.call.Service) {
+		c.fail(r, FailureNotRun, CodeClaimsDown, "the call can't be claimed at present", overloadRetryAfter)
+		return
+	}
+	c.startAdmission(r)
+}
+
+// checksKeys reports whether every engine of a service recognizes the idempotency keys of all of them.
+func (c *Core) checksKeys(id fleet.ServiceID) bool {
+	pool := c.pools[id]
+	if pool == nil {
+		return false
+	}
+	for _, engine := range pool.engines {
+		if !engine.ChecksIdempotencyKeys {
+			return false
+		}
+	}
+	return true
+}
+
+// endClaim reports the end of a request's claim without an outcome.
+func (c *Core) endClaim(r *request, end wire.ClaimEnd) {
+	if r.stage == stageClaim {
+		delete(c.claims.waiting, r.claim.id)
+		c.reportEnd(r.claim, wire.ClaimEndReleased, nil)
+		return
+	}
+	if r.claim.held {
+		r.claim.held = false
+		c.reportEnd(r.claim, end, nil)
+	}
+}
+
+// recordOutcome reports the outcome of a completed call.
+func (c *Core) recordOutcome(r *request, outcome *wire.Outcome) {
+	if !r.claim.held {
+		return
+	}
+	r.claim.held = false
+	end := wire.ClaimEndDone
+	if outcome == nil {
+		end = wire.ClaimEndUnknown
+	}
+	c.reportEnd(r.claim, end, outcome)
+}
+
+func (c *Core) reportEnd(rc requestClaim, end wire.ClaimEnd, outcome *wire.Outcome) {
+	c.claims.lastID++
+	pending := &pendingEnd{key: rc.key, nonce: rc.nonce, end: end, outcome: outcome, owner: rc.owner}
+	c.claims.ends[c.claims.lastID] = pending
+	c.sendEnd(c.claims.lastID, pending)
+}
+
+func (c *Core) sendEnd(id uint64, p *pendingEnd) {
+	if p.owner != c.cfg.Instance && !c.isLinked(p.owner) {
+		p.owner = c.reachableOwner(claim.PartitionOf(p.key))
+	}
+	p.sent = c.mono()
+	c.send(p.owner, &wire.ClaimFinish{ID: id, Key: p.key[:], Nonce: p.nonce, End: p.end, Outcome: p.outcome})
+}
+
+// holderGone marks the claims of an instance that is gone as unknown.
+func (c *Core) holderGone(id fleet.InstanceID, incarnation uint64) {
+	if incarnation == 0 {
+		return
+	}
+	for _, partition := range c.ownPartitions() {
+		holder := claim.Holder{Instance: id, Incarnation: incarnation}
+		c.claimEffects(partition, c.claims.writers[partition].InstanceGone(c.mono(), holder))
+	}
+}
+
+// ownPartitions returns the partitions that this instance writes, in order.
+func (c *Core) ownPartitions() []int {
+	list := make([]int, 0, len(c.claims.writers))
+	for partition := range c.claims.writers {
+		list = append(list, partition)
+	}
+	sort.Ints(list)
+	return list
+}
+
+func (c *Core) tickClaims() {
+	for _, partition := range c.ownPartitions() {
+		w := c.claims.writers[partition]
+		if at, ok := w.NextTick(); ok && c.mono() >= at {
+			c.claimEffects(partition, w.Tick(c.mono(), c.now.Wall.UnixMilli()))
+		}
+	}
+	if c.mono() < c.claims.nextCheck {
+		return
+	}
+	c.claims.nextCheck = c.mono() + c.jitter(finishRetry)
+	c.repeatEnds()
+	c.checkHolders()
+}
+
+// repeatEnds sends unconfirmed ends again.
+func (c *Core) repeatEnds() {
+	ids := make([]uint64, 0, len(c.claims.ends))
+	for id, p := range c.claims.ends {
+		if c.mono()-p.sent >= finishRetry {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	for _, id := range ids {
+		c.sendEnd(id, c.claims.ends[id])
+	}
+}
+
+// checkHolders ends the claims of instances that are gone or have restarted.
+func (c *Core) checkHolders() {
+	for _, partition := range c.ownPartitions() {
+		w := c.claims.writers[partition]
+		c.claimEffects(partition, w.Tick(c.mono(), c.now.Wall.UnixMilli()))
+		for _, holder := range w.Running() {
+			if c.isGone(holder) {
+				c.claimEffects(partition, w.InstanceGone(c.mono(), holder))
+			}
+		}
+	}
+}
+
+// isGone reports whether the process that holds a claim can't come back to it. An
+// instance that this one has never heard of is judged once the list is known and the
+// probation of listed instances is over.
+func (c *Core) isGone(holder claim.Holder) bool {
+	if holder.Instance == c.cfg.Instance {
+		return holder.Incarnation != c.cfg.Incarnation
+	}
+	if incarnation, ok := c.view.Incarnation(holder.Instance); ok && incarnation != holder.Incarnation {
+		return incarnation > holder.Incarnation
+	}
+	if !c.members.listed || c.mono() < holderPatience {
+		return false
+	}
+	return !c.view.Known(holder.Instance)
+}
--- /dev/null
+++ b/internal/core/effects.go
@@ -0,0 +1,190 @@
+package core
+
+import (
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+)
+
+// Effect is an output of the reducer, carried out by the shell.
+type Effect interface{ effect() }
+
+// Target is an engine as an attempt needs it.
+type Target struct {
+	Engine fleet.EngineID
+	// Addr is the engine's IP address and port.
+	Addr string
+}
+
+// StartAttempt sends a request to an engine.
+type StartAttempt struct {
+	Request RequestID
+	Attempt uint64
+	// AttemptID goes to the engine and must come back with the answer.
+	AttemptID fleet.AttemptID
+	Target    Target
+	// Resume asks the engine to continue the part that the caller already has.
+	Resume       bool
+	Class        int
+	StallTimeout time.Duration
+}
+
+// FailureKind tells a caller whether its request ran.
+type FailureKind string
+
+// Failure kinds.
+const (
+	// FailureNotRun: never handed to an engine, or refused before it ran; safe to send again.
+	FailureNotRun FailureKind = "not_run"
+	// FailureUnknown: may have run.
+	FailureUnknown FailureKind = "unknown"
+	// FailureFailed: ran and failed.
+	FailureFailed FailureKind = "failed"
+)
+
+// FailRequest ends a request with a typed error.
+type FailRequest struct {
+	Request RequestID
+	Kind    FailureKind
+	// Code is a stable word such as "rate_limited".
+	Code       string
+	Message    string
+	RetryAfter time.Duration
+}
+
+// ReplayOutcome answers a request with the recorded outcome of an earlier call.
+type ReplayOutcome struct {
+	Request RequestID
+	Outcome wire.Outcome
+}
+
+// SendMessage sends a message to an instance.
+type SendMessage struct {
+	To      fleet.InstanceID
+	Message wire.Message
+}
+
+// SetPeers replaces the set of instances to hold links with.
+type SetPeers struct{ Peers []PeerTarget }
+
+// PeerTarget is an instance to hold a link with.
+type PeerTarget struct {
+	ID   fleet.InstanceID
+	Addr string
+	// Dial tells that this side opens the link.
+	Dial bool
+}
+
+// StoreGet reads a key.
+type StoreGet struct {
+	Op  uint64
+	Key string
+}
+
+// StoreSwap writes a key by compare-and-swap.
+type StoreSwap struct {
+	Op     uint64
+	Key    string
+	Value  []byte
+	Expect uint64
+}
+
+// StoreWatch waits for a change of a key.
+type StoreWatch struct {
+	Op    uint64
+	Key   string
+	After uint64
+	Wait  time.Duration
+}
+
+// LeaseAcquire takes or renews a lease.
+type LeaseAcquire struct {
+	Op   uint64
+	Name string
+	TTL  time.Duration
+}
+
+// LeaseRelease gives up a lease.
+type LeaseRelease struct {
+	Name  string
+	Fence uint64
+}
+
+// ListInstances reads the platform's list.
+type ListInstances struct{}
+
+// ProbeEngine reads an engine's report.
+type ProbeEngine struct{ Target Target }
+
+// ReadCacheEvents reads an engine's cache events after a sequence number.
+type ReadCacheEvents struct {
+	Target Target
+	After  uint64
+}
+
+// SendOrder sends a state-declaring order to an engine.
+type SendOrder struct {
+	Target   Target
+	Fence    uint64
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+}
+
+// MoveChat exports a chat's KV cache from one engine and imports it into another.
+type MoveChat struct {
+	From, To Target
+	Chat     fleet.ChatKey
+}
+
+// ConfigInForce reports a configuration taken into force.
+type ConfigInForce struct {
+	Version   uint64
+	PublishID string
+}
+
+// SetReady reports whether the instance takes callers.
+type SetReady struct{ Ready bool }
+
+// Drained reports that no request is in flight and duties are handed over.
+type Drained struct{}
+
+// Count adds to a counter.
+type Count struct {
+	Counter Counter
+	N       uint64
+}
+
+// Record adds an event to the time line.
+type Record struct {
+	Kind     string
+	Request  RequestID
+	Attempt  fleet.AttemptID
+	Chat     fleet.ChatKey
+	Engine   fleet.EngineID
+	Customer fleet.CustomerID
+	Detail   string
+}
+
+func (StartAttempt) effect()    {}
+func (FailRequest) effect()     {}
+func (ReplayOutcome) effect()   {}
+func (SendMessage) effect()     {}
+func (SetPeers) effect()        {}
+func (StoreGet) effect()        {}
+func (StoreSwap) effect()       {}
+func (StoreWatch) effect()      {}
+func (LeaseAcquire) effect()    {}
+func (LeaseRelease) effect()    {}
+func (ListInstances) effect()   {}
+func (ProbeEngine) effect()     {}
+func (ReadCacheEvents) effect() {}
+func (SendOrder) effect()       {}
+func (MoveChat) effect()        {}
+func (ConfigInForce) effect()   {}
+func (SetReady) effect()        {}
+func (Drained) effect()         {}
+func (Count) effect()           {}
+func (Record) effect()          {}
--- /dev/null
+++ b/internal/core/events.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+)
+
+// Instant is the time of an event.
+type Instant struct {
+	// Mono is the monotonic time since the process started.
+	Mono time.Duration
+	// Wall is the wall-clock time, for planned stops, deadlines of the day and claim retention.
+	Wall time.Time
+}
+
+// RequestID identifies a caller's request within one process.
+type RequestID uint64
+
+// Event is an input of the reducer.
+type Event interface{ event() }
+
+// Call describes a caller's request as far as decisions need it. The shell keeps body and headers.
+type Call struct {
+	Customer fleet.CustomerID
+	Service  fleet.ServiceID
+	// Chat is the conversation's key; zero for calls of plain services without one.
+	Chat        fleet.ChatKey
+	Fingerprint fleet.Fingerprint
+	// Priority names a published priority; empty takes the customer's own.
+	Priority string
+	// NonIdempotent calls run at most once per customer, service and idempotency key.
+	NonIdempotent  bool
+	IdempotencyKey string
+}
+
+// RequestArrived reports a caller's request that passed authentication and parsing.
+type RequestArrived struct {
+	Request RequestID
+	Call    Call
+}
+
+// CallerGone reports that the caller closed its connection.
+type CallerGone struct{ Request RequestID }
+
+// FirstByte reports the first byte of an attempt's answer.
+type FirstByte struct {
+	Request RequestID
+	Attempt uint64
+}
+
+// AttemptEnded reports how an attempt ended.
+type AttemptEnded struct {
+	Request RequestID
+	Attempt uint64
+	Result  wire.Result
+	// Delivered tells that a part of the answer reached the caller.
+	Delivered bool
+	// Resumable tells that the shell can ask an engine to continue the delivered part.
+	Resumable bool
+	// Cached tells that the engine read the prompt's prefix from its cache.
+	Cached bool
+	// Outcome is the answer of a non-idempotent call.
+	Outcome *wire.Outcome
+}
+
+// PeerUp reports an open link to an instance.
+type PeerUp struct {
+	Instance    fleet.InstanceID
+	Incarnation uint64
+	Addr        string
+	DataCentre  fleet.DataCentre
+	Region      fleet.Region
+}
+
+// PeerDown reports a closed link.
+type PeerDown struct {
+	Instance    fleet.InstanceID
+	Incarnation uint64
+}
+
+// PeerMessage is a message of a peer.
+type PeerMessage struct {
+	From        fleet.InstanceID
+	Incarnation uint64
+	Message     wire.Message
+}
+
+// InstanceList is the platform's list of instances.
+type InstanceList struct {
+	Rows []platform.Instance
+	Err  error
+}
+
+// StoreReply answers a StoreGet, StoreSwap or StoreWatch effect.
+type StoreReply struct {
+	Op    uint64
+	Entry platform.Entry
+	Err   error
+}
+
+// LeaseReply answers LeaseAcquire.
+type LeaseReply struct {
+	Op    uint64
+	Lease platform.Lease
+	Err   error
+}
+
+// EngineReport is an engine's answer to a probe.
+type EngineReport struct {
+	Engine      fleet.EngineID
+	InFlight    int
+	Queued      int
+	Slots       int
+	Incarnation uint64
+	Model       string
+	Version     string
+	Adapters    []string
+	Role        string
+	Err         error
+}
+
+// CacheEvent tells that an engine stored or evicted a chat's prefix.
+type CacheEvent struct {
+	Sequence uint64
+	Chat     fleet.ChatKey
+	Stored   bool
+}
+
+// CacheEvents is an engine's answer to a read of its cache events.
+type CacheEvents struct {
+	Engine fleet.EngineID
+	Events []CacheEvent
+	Err    error
+}
+
+// OrderReply answers SendOrder.
+type OrderReply struct {
+	Engine fleet.EngineID
+	Fence  uint64
+	// Stale tells that the engine refused an old fencing number.
+	Stale bool
+	Err   error
+}
+
+// ChatMoved answers MoveChat.
+type ChatMoved struct {
+	From, To fleet.EngineID
+	Chat     fleet.ChatKey
+	Err      error
+}
+
+// ConfigHandoff is an accepted publish handed over by the publisher.
+type ConfigHandoff struct {
+	Manifest []byte
+	Blobs    map[string][]byte
+}
+
+// DrainRequested asks the instance to drain, by signal or by an operator.
+type DrainRequested struct{}
+
+// Tick advances timers.
+type Tick struct{}
+
+func (RequestArrived) event() {}
+func (CallerGone) event()     {}
+func (FirstByte) event()      {}
+func (AttemptEnded) event()   {}
+func (PeerUp) event()         {}
+func (PeerDown) event()       {}
+func (PeerMessage) event()    {}
+func (InstanceList) event()   {}
+func (StoreReply) event()     {}
+func (LeaseReply) event()     {}
+func (EngineReport) event()   {}
+func (CacheEvents) event()    {}
+func (OrderReply) event()     {}
+func (ChatMoved) event()      {}
+func (ConfigHandoff) event()  {}
+func (DrainRequested) event() {}
+func (Tick) event()           {}
--- /dev/null
+++ b/internal/core/members.go
@@ -0,0 +1,351 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/admission"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/membership"
+)
+
+const (
+	// listInterval is the time between reads of the platform's instance list.
+	listInterval = 2 * time.Second
+	// listSilence is the time after which an unanswered read of the list is repeated.
+	listSilence = 10 * time.Second
+	// heartbeatBytes is the size of a heartbeat with its frame, for the interval at the control budget.
+	heartbeatBytes = 48
+	// minLoadInterval is the shortest time between announcements of changed load.
+	minLoadInterval = 50 * time.Millisecond
+	// fullHeartbeatEvery is the number of heartbeats after which complete totals are repeated,
+	// in case a link dropped a change.
+	fullHeartbeatEvery = 10
+	// stopCheckInterval is the time between checks for planned stops that begin or end.
+	stopCheckInterval = 250 * time.Millisecond
+)
+
+// memberState is the state of the membership role.
+type memberState struct {
+	listed        bool
+	listPending   bool
+	nextList      time.Duration
+	nextHeartbeat time.Duration
+	nextLoadCheck time.Duration
+	nextStopCheck time.Duration
+	sequence      uint64
+	// linked holds the peers with an open link.
+	linked map[fleet.InstanceID]linkedPeer
+	epoch  uint64
+}
+
+// linkedPeer is what a peer said of itself when its link opened.
+type linkedPeer struct {
+	membership.Instance
+	incarnation uint64
+}
+
+func (m *memberState) init() {
+	m.linked = make(map[fleet.InstanceID]linkedPeer)
+}
+
+func (c *Core) isLinked(id fleet.InstanceID) bool {
+	_, ok := c.members.linked[id]
+	return ok
+}
+
+// instanceList takes the platform's list of instances. Rows without this instance are kept: the list lags.
+func (c *Core) instanceList(ev InstanceList) {
+	c.members.listPending = false
+	c.members.nextList = c.mono() + c.jitter(listInterval)
+	if ev.Err != nil {
+		c.count(CounterStoreErrors, 1)
+		return
+	}
+	c.members.listed = true
+	rows := make([]membership.Row, len(ev.Rows))
+	for i, row := range ev.Rows {
+		rows[i] = membership.Row{Instance: membership.Instance{
+			ID:         row.ID,
+			Addr:       row.PeerAddr,
+			DataCentre: row.DataCentre,
+			Region:     row.Region,
+		}, Leaving: row.Leaving}
+	}
+	c.applyChanges(c.view.List(c.mono(), rows))
+	c.planLinks()
+}
+
+// planLinks sets the links to hold.
+func (c *Core) planLinks() {
+	self := membership.Instance{
+		ID: c.cfg.Instance, Addr: c.cfg.PeerAddr, DataCentre: c.cfg.DataCentre, Region: c.cfg.Region,
+	}
+	links := membership.LinkPlan(self, c.view.Peers())
+	peers := make([]PeerTarget, len(links))
+	var expected []fleet.InstanceID
+	for i, link := range links {
+		peers[i] = PeerTarget{ID: link.ID, Addr: link.Addr, Dial: link.Dial}
+		if link.Region != c.cfg.Region {
+			expected = append(expected, link.ID)
+		}
+	}
+	c.view.Expect(c.mono(), expected)
+	c.emit(SetPeers{Peers: peers})
+}
+
+// applyChanges follows changes of the view.
+func (c *Core) applyChanges(changes []membership.Change) {
+	for _, change := range changes {
+		c.emit(Record{Kind: "member_" + change.Kind.String(), Detail: string(change.Instance)})
+		if change.Kind == membership.Gone {
+			c.count(CounterMembersGone, 1)
+			c.entryGone(change.Instance)
+			c.holderGone(change.Instance, change.Incarnation)
+		}
+	}
+	if epoch := c.view.Epoch(); epoch != c.members.epoch {
+		c.members.epoch = epoch
+		c.reassignHomes()
+	}
+}
+
+// peerUp greets a peer with complete state. An open link counts as a heartbeat, so that a
+// restarted peer's former grants are freed before its first request.
+func (c *Core) peerUp(ev PeerUp) {
+	instance := membership.Instance{
+		ID: ev.Instance, Addr: ev.Addr, DataCentre: ev.DataCentre, Region: ev.Region,
+	}
+	c.members.linked[ev.Instance] = linkedPeer{Instance: instance, incarnation: ev.Incarnation}
+	c.applyChanges(c.view.Heard(c.mono(), membership.Beat{Instance: instance, Incarnation: ev.Incarnation}))
+	beat := c.heartbeat()
+	c.fillHeartbeat(beat, c.homes.admission.Counts())
+	c.send(ev.Instance, beat)
+	c.sendStrikes(ev.Instance)
+	c.sendRegistrations(ev.Instance)
+}
+
+// sendStrikes tells a new peer which fingerprints have strikes.
+func (c *Core) sendStrikes(to fleet.InstanceID) {
+	for _, s := range c.poison.Strikes(c.mono()) {
+		c.send(to, &wire.Strike{
+			Engine:            s.Engine,
+			EngineIncarnation: s.Incarnation,
+			Fingerprints:      []fleet.Fingerprint{s.Fingerprint},
+			Confirmed:         true,
+			AgeMs:             millis(s.Age),
+		})
+	}
+}
+
+// sendRegistrations repeats the registrations of a home whose link was down when it took its engines.
+func (c *Core) sendRegistrations(to fleet.InstanceID) {
+	engines := make(map[fleet.InstanceID][]fleet.EngineID)
+	for _, id := range c.regionEngines() {
+		if c.homes.homes[id] == to {
+			engines[to] = append(engines[to], id)
+		}
+	}
+	c.registerWithHomes(engines)
+}
+
+func (c *Core) peerDown(ev PeerDown) {
+	delete(c.members.linked, ev.Instance)
+}
+
+func (c *Core) peerMessage(ev PeerMessage) {
+	c.handleMessage(ev.From, ev.Incarnation, ev.Message)
+}
+
+// heartbeatReceived updates the view, the totals and the versions heard.
+func (c *Core) heartbeatReceived(from fleet.InstanceID, incarnation uint64, m *wire.Heartbeat) {
+	peer, ok := c.members.linked[from]
+	if !ok {
+		return
+	}
+	c.applyChanges(c.view.Heard(c.mono(), membership.Beat{
+		Instance:    peer.Instance,
+		Incarnation: incarnation,
+		Draining:    m.Draining,
+		Interval:    time.Duration(m.IntervalMs) * time.Millisecond,
+	}))
+	c.mergePools(from, m)
+	c.markSaturated(m)
+	c.versionHeard(from, m.ConfigVersion)
+}
+
+func (c *Core) mergePools(from fleet.InstanceID, m *wire.Heartbeat) {
+	totals := c.homes.peerPools[from]
+	if totals == nil || m.Full {
+		totals = make(map[fleet.ServiceID]wire.PoolTotal)
+		c.homes.peerPools[from] = totals
+	}
+	for _, total := range m.Pools {
+		if total.CapacityMilli == 0 {
+			delete(totals, total.Service)
+			continue
+		}
+		totals[total.Service] = total
+	}
+	if len(m.Pools) > 0 || m.Full {
+		c.updatePoolTotals()
+		c.sendDecisions()
+	}
+}
+
+func (c *Core) markSaturated(m *wire.Heartbeat) {
+	for _, id := range m.Saturated {
+		if engine := c.engines[id]; engine != nil {
+			engine.saturated = true
+		}
+	}
+	for _, id := range m.Relieved {
+		if engine := c.engines[id]; engine != nil {
+			engine.saturated = false
+		}
+	}
+}
+
+func (c *Core) tickMembers() {
+	c.applyChanges(c.view.Tick(c.mono()))
+	c.tickList()
+	if c.mono() >= c.members.nextStopCheck {
+		c.members.nextStopCheck = c.mono() + stopCheckInterval
+		c.checkStops()
+	}
+	c.tickHeartbeat()
+}
+
+// tickHeartbeat sends heartbeats at their interval, and earlier when the load changed and
+// the control budget allows it.
+func (c *Core) tickHeartbeat() {
+	if c.mono() >= c.members.nextHeartbeat {
+		c.sendHeartbeats()
+		return
+	}
+	if c.mono() < c.members.nextLoadCheck {
+		return
+	}
+	c.members.nextLoadCheck = c.mono() + c.loadInterval()
+	if !c.homes.admission.Counts().Since(c.homes.announced).Empty() {
+		c.sendHeartbeats()
+	}
+}
+
+// loadInterval is the shortest time between announcements of load at a third of the control budget.
+func (c *Core) loadInterval() time.Duration {
+	bytes := len(c.members.linked) * heartbeatBytes
+	interval := time.Duration(bytes) * time.Second / time.Duration(c.cfg.ControlBudget/3)
+	return max(interval, minLoadInterval)
+}
+
+func (c *Core) tickList() {
+	if c.mono() < c.members.nextList {
+		return
+	}
+	c.members.listPending = true
+	c.members.nextList = c.mono() + listSilence
+	c.emit(ListInstances{})
+}
+
+// checkStops applies planned stops of engines and of this instance.
+func (c *Core) checkStops() {
+	if c.snapshot == nil {
+		return
+	}
+	if c.markStops() {
+		for _, id := range c.homes.owned {
+			c.homes.admission.SetDraining(c.mono(), id, c.engines[id].stopped)
+			if c.engines[id].stopped {
+				c.moveChats(id)
+			}
+		}
+		c.sendDecisions()
+	}
+	for _, stop := range c.snapshot.Stops {
+		if stop.Instance == c.cfg.Instance && stop.ActiveAt(c.now.Wall) {
+			c.drainRequested()
+		}
+	}
+}
+
+// sendHeartbeats sends what changed since the last heartbeat to all linked peers.
+func (c *Core) sendHeartbeats() {
+	interval := c.heartbeatInterval()
+	c.view.SetInterval(interval)
+	c.members.nextHeartbeat = c.mono() + interval
+	counts := c.homes.admission.Counts()
+	delta := counts.Since(c.homes.announced)
+	c.homes.announced = counts
+	beat := c.heartbeat()
+	if beat.Sequence%fullHeartbeatEvery == 0 {
+		c.fillHeartbeat(beat, counts)
+	} else {
+		beat.Pools = poolTotals(delta.Pools)
+		for _, id := range delta.Gone {
+			beat.Pools = append(beat.Pools, wire.PoolTotal{Service: id})
+		}
+		beat.Saturated = delta.Saturated
+	}
+	beat.Relieved = delta.Cleared
+	c.markSaturated(beat)
+	c.broadcast(beat)
+}
+
+// fillHeartbeat makes a heartbeat carry complete state.
+func (c *Core) fillHeartbeat(beat *wire.Heartbeat, counts admission.Counts) {
+	beat.Full = true
+	beat.Pools = poolTotals(counts.Pools)
+	beat.Saturated = counts.Saturated
+}
+
+func (c *Core) heartbeat() *wire.Heartbeat {
+	c.members.sequence++
+	return &wire.Heartbeat{
+		Sequence:      c.members.sequence,
+		ConfigVersion: c.conf.version(),
+		Draining:      c.drain.active,
+		IntervalMs:    millis(c.heartbeatInterval()),
+	}
+}
+
+// heartbeatInterval is the longest time between heartbeats: the least that keeps them
+// within a third of the control budget.
+func (c *Core) heartbeatInterval() time.Duration {
+	interval := membership.HeartbeatInterval(len(c.members.linked), heartbeatBytes, c.cfg.ControlBudget)
+	return max(interval, c.cfg.HeartbeatInterval)
+}
+
+func poolTotals(counts []admission.PoolCount) []wire.PoolTotal {
+	totals := make([]wire.PoolTotal, len(counts))
+	for i, count := range counts {
+		totals[i] = wire.PoolTotal{
+			Service:       count.Pool,
+			InFlight:      count.InFlight,
+			CapacityMilli: int64(count.Capacity * 1000),
+		}
+	}
+	return totals
+}
+
+// broadcast sends a message to every linked peer.
+func (c *Core) broadcast(m wire.Message) { c.relay("", m) }
+
+// relay sends a message to every linked peer but one.
+func (c *Core) relay(except fleet.InstanceID, m wire.Message) {
+	for _, id := range c.linkedPeers() {
+		if id != except {
+			c.send(id, m)
+		}
+	}
+}
+
+func (c *Core) linkedPeers() []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, 0, len(c.members.linked))
+	for id := range c.members.linked {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
--- /dev/null
+++ b/internal/core/pools.go
@@ -0,0 +1,123 @@
+package core
+
+import (
+	"github.com/bilberrywell/bilberrywell/affinity"
+	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/fleet"
+)
+
+// choicesPerChat is the number of engines in a chat's preference order. With c = 1.25 an
+// engine is at its bound about one time in four, so that eight choices are exhausted
+// together less than once in 10,000.
+const choicesPerChat = 8
+
+// pool is a service's engines as this instance routes to them.
+type pool struct {
+	service *config.Service
+	ranking *affinity.Pool
+	engines []*engineInfo
+}
+
+// engineInfo is an engine with what this instance knows of it.
+type engineInfo struct {
+	config.Engine
+	service *config.Service
+	// stopped tells that a planned stop covers the present.
+	stopped bool
+	// saturated tells that the engine's home announced it as full.
+	saturated bool
+}
+
+func (e *engineInfo) target() Target {
+	return Target{Engine: e.ID, Addr: e.Addr}
+}
+
+// rebuildPools derives the pools from the configuration in force.
+func (c *Core) rebuildPools() {
+	old := c.engines
+	c.engines = make(map[fleet.EngineID]*engineInfo)
+	c.pools = make(map[fleet.ServiceID]*pool, len(c.snapshot.Services))
+	for id, service := range c.snapshot.Services {
+		c.pools[id] = c.buildPool(service, old)
+	}
+	c.markStops()
+}
+
+func (c *Core) buildPool(service *config.Service, old map[fleet.EngineID]*engineInfo) *pool {
+	p := &pool{service: service}
+	local := hasRegion(service.Engines, c.cfg.Region)
+	var candidates []affinity.Candidate
+	for _, engine := range service.Engines {
+		info := &engineInfo{Engine: engine, service: service}
+		if before := old[engine.ID]; before != nil {
+			info.saturated = before.saturated
+		}
+		c.engines[engine.ID] = info
+		// A pool with engines in the own region is served within the region.
+		if local && engine.Region != c.cfg.Region {
+			continue
+		}
+		p.engines = append(p.engines, info)
+		candidates = append(candidates, affinity.Candidate{ID: string(engine.ID), Weight: engine.Capacity})
+	}
+	p.ranking = affinity.NewPool(candidates)
+	return p
+}
+
+func hasRegion(engines []config.Engine, region fleet.Region) bool {
+	for _, engine := range engines {
+		if engine.Region == region {
+			return true
+		}
+	}
+	return false
+}
+
+// markStops applies the planned stops that cover the present. It reports whether any engine's mark changed.
+func (c *Core) markStops() bool {
+	if c.snapshot == nil {
+		return false
+	}
+	active := make(map[fleet.EngineID]bool)
+	for _, stop := range c.snapshot.Stops {
+		if stop.Engine != "" && stop.ActiveAt(c.now.Wall) {
+			active[stop.Engine] = true
+		}
+	}
+	changed := false
+	for id, engine := range c.engines {
+		if engine.stopped != active[id] {
+			engine.stopped = active[id]
+			changed = true
+		}
+	}
+	return changed
+}
+
+// choices returns the engines that a chat prefers, in order, without stopped ones.
+func (p *pool) choices(chat fleet.ChatKey) []*engineInfo {
+	// Stopped engines are skipped after the ranking, so that only their chats move.
+	ranked := p.ranking.Top(uint64(chat), min(2*choicesPerChat, p.ranking.Len()), nil)
+	list := make([]*engineInfo, 0, choicesPerChat)
+	for _, choice := range ranked {
+		engine := p.engines[choice.Index]
+		if !engine.stopped && len(list) < choicesPerChat {
+			list = append(list, engine)
+		}
+	}
+	if len(list) > 0 {
+		return list
+	}
+	return p.anyRunning()
+}
+
+// anyRunning returns running engines when all of a chat's choices are stopped.
+func (p *pool) anyRunning() []*engineInfo {
+	var list []*engineInfo
+	for _, engine := range p.engines {
+		if !engine.stopped && len(list) < choicesPerChat {
+			list = append(list, engine)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"sort"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/membership"
+)
+
+// Status is a view of the reducer's state for operators.
+type Status struct {
+	Version   uint64
+	PublishID string
+	Ready     bool
+	Draining  bool
+	// ConfigOutcome and ConfigError tell how the last offered configuration was taken.
+	ConfigOutcome string
+	ConfigError   string
+	Peers         []PeerStatus
+	Engines       []EngineStatus
+}
+
+// PeerStatus is another instance as seen by this one.
+type PeerStatus struct {
+	membership.Instance
+	Linked, Live, Draining bool
+	Version                uint64
+}
+
+// EngineStatus is an engine as seen by this instance. Counts are set at its home only.
+type EngineStatus struct {
+	ID                      fleet.EngineID
+	Home                    fleet.InstanceID
+	InFlight, Bound, Queued int
+	Draining                bool
+}
+
+// Status returns the present state.
+func (c *Core) Status() Status {
+	s := Status{
+		Version:       c.conf.version(),
+		PublishID:     c.conf.publishID,
+		Ready:         c.conf.ready,
+		Draining:      c.drain.active,
+		ConfigOutcome: c.conf.outcome,
+		ConfigError:   c.conf.rejection,
+	}
+	s.Peers = c.peerStatus()
+	s.Engines = c.engineStatus()
+	return s
+}
+
+func (c *Core) peerStatus() []PeerStatus {
+	live := make(map[fleet.InstanceID]bool)
+	homes := make(map[fleet.InstanceID]bool)
+	for _, peer := range c.view.Peers() {
+		for _, instance := range c.view.Live(peer.Region) {
+			live[instance.ID] = true
+		}
+		for _, instance := range c.view.Homes(peer.Region) {
+			homes[instance.ID] = true
+		}
+	}
+	var list []PeerStatus
+	for _, peer := range c.view.Peers() {
+		list = append(list, PeerStatus{
+			Instance: peer,
+			Linked:   c.isLinked(peer.ID),
+			Live:     live[peer.ID],
+			Draining: live[peer.ID] && !homes[peer.ID],
+			Version:  c.conf.heard[peer.ID],
+		})
+	}
+	return list
+}
+
+func (c *Core) engineStatus() []EngineStatus {
+	list := make([]EngineStatus, 0, len(c.engines))
+	for id, engine := range c.engines {
+		row := EngineStatus{ID: id, Home: c.homeOf(engine), Draining: engine.stopped}
+		if status, ok := c.homes.admission.Status(id); ok {
+			row.InFlight, row.Bound, row.Queued = status.InFlight, status.Limit, status.Waiting
+		}
+		list = append(list, row)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/core"
+)
+
+const (
+	// controlTimeout bounds a probe, an order or a read of cache events.
+	controlTimeout = time.Second
+	// moveTimeout bounds the export and import of one chat's KV cache.
+	moveTimeout = 10 * time.Second
+	// maxControlBody bounds the answer to a probe or a read of cache events.
+	maxControlBody = 1 << 20
+	// maxCacheBlob bounds an exported KV cache that passes through an instance.
+	maxCacheBlob = 64 << 20
+)
+
+// errStaleFence reports an order that an engine refused for its fencing number.
+var errStaleFence = errors.New("daemon: the engine refused the fencing number")
+
+// engineClient speaks the control interface of engines: load, cache events, orders and KV cache.
+type engineClient struct {
+	http *http.Client
+}
+
+// newControlClient returns an HTTP client whose bytes are counted under a kind.
+func newControlClient(set *metrics.Set, kind string) *http.Client {
+	sent := set.NewCounter(`bilberry_control_bytes_total{direction="sent",kind="` + kind + `"}`)
+	received := set.NewCounter(`bilberry_control_bytes_total{direction="received",kind="` + kind + `"}`)
+	transport := newTransport()
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: conn, sent: sent, received: received}, nil
+	}
+	return &http.Client{Transport: transport}
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	sent, received *metrics.Counter
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(n)
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(n)
+	return n, err
+}
+
+// loadReport is an engine's answer to GET /load.
+type loadReport struct {
+	InFlight    int      `json:"in_flight"`
+	Queued      int      `json:"queued"`
+	Slots       int      `json:"slots"`
+	Incarnation uint64   `json:"incarnation"`
+	Model       string   `json:"model"`
+	Version     string   `json:"version"`
+	Adapters    []string `json:"adapters"`
+	Role        string   `json:"role"`
+}
+
+func (e *engineClient) load(ctx context.Context, t core.Target) core.EngineReport {
+	var report loadReport
+	err := e.getJSON(ctx, t, "/load", &report)
+	return core.EngineReport{
+		Engine:      t.Engine,
+		InFlight:    report.InFlight,
+		Queued:      report.Queued,
+		Slots:       report.Slots,
+		Incarnation: report.Incarnation,
+		Model:       report.Model,
+		Version:     report.Version,
+		Adapters:    report.Adapters,
+		Role:        report.Role,
+		Err:         err,
+	}
+}
+
+// cacheEvent is one row of an engine's answer to GET /cache/events.
+type cacheEvent struct {
+	Seq  uint64 `json:"seq"`
+	Kind string `json:"kind"`
+	Chat string `json:"chat"`
+}
+
+func (e *engineClient) cacheEvents(ctx context.Context, t core.Target, after uint64) core.CacheEvents {
+	var rows []cacheEvent
+	err := e.getJSON(ctx, t, "/cache/events?after="+strconv.FormatUint(after, 10)+"&wait=0", &rows)
+	answer := core.CacheEvents{Engine: t.Engine, Err: err}
+	for _, row := range rows {
+		chat, err := strconv.ParseUint(row.Chat, 10, 64)
+		if err != nil {
+			// Engines also cache prefixes of callers that don't come through the fleet.
+			continue
+		}
+		answer.Events = append(answer.Events, core.CacheEvent{
+			Sequence: row.Seq,
+			Chat:     fleet.ChatKey(chat),
+			Stored:   row.Kind == "stored",
+		})
+	}
+	return answer
+}
+
+// engineOrder is the body of POST /admin/orders. It declares the whole desired state.
+type engineOrder struct {
+	Fence    uint64   `json:"fence"`
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
+}
+
+func (e *engineClient) order(ctx context.Context, o core.SendOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	body, err := json.Marshal(engineOrder{
+		Fence: o.Fence, Model: o.Model, Version: o.Version, Adapters: o.Adapters, Role: o.Role,
+	})
+	if err != nil {
+		return err
+	}
+	res, err := e.do(ctx, http.MethodPost, o.Target, "/admin/orders", body)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxControlBody))
+	switch {
+	case res.StatusCode == http.StatusConflict:
+		return errStaleFence
+	case res.StatusCode != http.StatusOK:
+		return fmt.Errorf("daemon: order to engine %s: %s", o.Target.Engine, res.Status)
+	}
+	return nil
+}
+
+// moveChat exports a chat's KV cache from one engine and imports it into another.
+func (e *engineClient) moveChat(ctx context.Context, m core.MoveChat) error {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	request := []byte(`{"chat":"` + strconv.FormatUint(uint64(m.Chat), 10) + `"}`)
+	exported, err := e.do(ctx, http.MethodPost, m.From, "/cache/export", request)
+	if err != nil {
+		return err
+	}
+	defer exported.Body.Close()
+	if exported.StatusCode != http.StatusOK {
+		return fmt.Errorf("daemon: export from engine %s: %s", m.From.Engine, exported.Status)
+	}
+	blob, err := io.ReadAll(io.LimitReader(exported.Body, maxCacheBlob))
+	if err != nil {
+		return err
+	}
+	imported, err := e.do(ctx, http.MethodPost, m.To, "/cache/import", blob)
+	if err != nil {
+		return err
+	}
+	defer imported.Body.Close()
+	if imported.StatusCode != http.StatusOK {
+		return fmt.Errorf("daemon: import into engine %s: %s", m.To.Engine, imported.Status)
+	}
+	return nil
+}
+
+func (e *engineClient) getJSON(ctx context.Context, t core.Target, path string, value any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	res, err := e.do(ctx, http.MethodGet, t, path, nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("daemon: engine %s: %s", t.Engine, res.Status)
+	}
+	return json.NewDecoder(io.LimitReader(res.Body, maxControlBody)).Decode(value)
+}
+
+func (e *engineClient) do(ctx context.Context, method string, t core.Target, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.Addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return e.http.Do(req)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,294 @@
+// Package daemon is the I/O shell of an instance: it turns HTTP requests, peer messages,
+// timers and answers of the platform into events of the reducer and carries out its effects.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/core"
+	"github.com/bilberrywell/bilberrywell/internal/peer"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/settings"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+)
+
+// tickInterval is the granularity of the reducer's timers. Claim batches wait 20 ms.
+const tickInterval = 10 * time.Millisecond
+
+// Daemon is one running instance.
+type Daemon struct {
+	settings    settings.Settings
+	release     string
+	incarnation uint64
+	ctx         context.Context
+	cancel      context.CancelFunc
+	tasks       conc.WaitGroup
+
+	loop      *loop
+	requests  *requests
+	upstreams *upstreams
+	engines   *engineClient
+	store     platform.Store
+	directory platform.Directory
+	peers     *peer.Manager
+	metrics   *daemonMetrics
+	events    *eventLog
+	rate      *byteRate
+
+	snapshot  atomic.Pointer[config.Snapshot]
+	version   atomic.Uint64
+	publishID atomic.Pointer[string]
+	ready     atomic.Bool
+	drained   chan struct{}
+	aborted   chan struct{}
+}
+
+// New returns a daemon for checked settings. Run starts it.
+func New(s settings.Settings, release string) (*Daemon, error) {
+	d := &Daemon{
+		settings:    s,
+		release:     release,
+		incarnation: uint64(time.Now().UnixNano()),
+		requests:    newRequests(),
+		upstreams:   newUpstreams(),
+		metrics:     newDaemonMetrics(),
+		drained:     make(chan struct{}),
+		aborted:     make(chan struct{}),
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.metrics.registerAll()
+	d.events = newEventLog(s.Instance, d.incarnation, s.TimelineEvents)
+	d.rate = newByteRate(d.metrics.set)
+	client := platform.NewHTTP(s.PlatformURL, newControlClient(d.metrics.set, "platform"))
+	d.store, d.directory = client, client
+	d.engines = &engineClient{http: newControlClient(d.metrics.set, "engine")}
+	if err := d.buildPeers(); err != nil {
+		return nil, err
+	}
+	seed, err := randomSeed()
+	if err != nil {
+		return nil, err
+	}
+	d.loop = newLoop(core.New(d.coreConfig(seed)), d.execute)
+	return d, nil
+}
+
+func (d *Daemon) coreConfig(seed uint64) core.Config {
+	s := d.settings
+	return core.Config{
+		Instance:          s.Instance,
+		Incarnation:       d.incarnation,
+		DataCentre:        s.DataCentre,
+		Region:            s.Region,
+		PeerAddr:          s.PeerAdvertise,
+		Release:           d.release,
+		Seed:              seed,
+		HeartbeatInterval: s.HeartbeatInterval,
+		ControlBudget:     s.ControlBytesPerSecond,
+		Rewalk:            s.Rewalk,
+		TakeoverWindow:    s.TakeoverWindow,
+		TakeoverShare:     s.TakeoverShare,
+		BalancerGrace:     s.BalancerGrace,
+		ClaimRetention:    s.ClaimRetention,
+		ClaimBatch:        s.ClaimBatch,
+	}
+}
+
+func randomSeed() (uint64, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return 0, oops.In("daemon").Wrapf(err, "read a random seed")
+	}
+	return binary.LittleEndian.Uint64(seed[:]), nil
+}
+
+// buildPeers sets up the links to other instances.
+func (d *Daemon) buildPeers() error {
+	tlsConfig, err := peerTLS(d.settings)
+	if err != nil {
+		return err
+	}
+	d.peers = peer.New(peer.Config{
+		Self: wire.Hello{
+			Instance:    d.settings.Instance,
+			Incarnation: d.incarnation,
+			DataCentre:  d.settings.DataCentre,
+			Region:      d.settings.Region,
+			Release:     d.release,
+			Addr:        d.settings.PeerAdvertise,
+		},
+		Secret:   string(d.settings.FleetSecret),
+		Budget:   d.settings.ControlBytesPerSecond,
+		Interval: d.settings.HeartbeatInterval,
+		TLS:      tlsConfig,
+		Metrics:  d.metrics.set,
+		Stamp:    d.events.stamp,
+		OnStamp:  d.events.observe,
+		OnMessage: func(from fleet.InstanceID, incarnation uint64, m wire.Message) {
+			d.loop.post(core.PeerMessage{From: from, Incarnation: incarnation, Message: m})
+		},
+		OnUp: func(hello wire.Hello) {
+			d.loop.post(core.PeerUp{
+				Instance:    hello.Instance,
+				Incarnation: hello.Incarnation,
+				Addr:        hello.Addr,
+				DataCentre:  hello.DataCentre,
+				Region:      hello.Region,
+			})
+		},
+		OnDown: func(instance fleet.InstanceID, incarnation uint64) {
+			d.loop.post(core.PeerDown{Instance: instance, Incarnation: incarnation})
+		},
+	})
+	return nil
+}
+
+// holderName names this process in the platform's leases. A restart is another holder.
+func (d *Daemon) holderName() string {
+	return string(d.settings.Instance) + "/" + strconv.FormatUint(d.incarnation, 36)
+}
+
+// Run serves until ctx ends, then drains: the instance turns not ready, waits for the
+// balancer, hands over its homes and duties, and lets requests in flight end up to the
+// drain deadline.
+func (d *Daemon) Run(ctx context.Context) error {
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	d.tasks.Go(func() { d.loop.run(d.ctx, tickInterval) })
+	d.tasks.Go(func() { d.rate.run(d.ctx) })
+	for _, s := range servers {
+		d.tasks.Go(s.serve)
+	}
+	klog.InfoS("started", "instance", d.settings.Instance, "callers", d.settings.CallerAddr,
+		"peers", d.settings.PeerAddr, "admin", d.settings.AdminAddr, "release", d.release)
+	select {
+	case <-ctx.Done():
+		d.loop.post(core.DrainRequested{})
+	case <-d.drained:
+	case <-d.aborted:
+		d.abort(servers)
+		return nil
+	}
+	d.awaitDrain()
+	d.stop(servers)
+	return nil
+}
+
+// awaitDrain waits until the reducer reports that the drain has ended, or for the deadline.
+func (d *Daemon) awaitDrain() {
+	deadline := time.NewTimer(d.settings.DrainDeadline)
+	defer deadline.Stop()
+	select {
+	case <-d.drained:
+		klog.InfoS("drained", "instance", d.settings.Instance)
+	case <-deadline.C:
+		klog.InfoS("drain deadline passed with requests in flight", "instance", d.settings.Instance)
+	}
+}
+
+func (d *Daemon) stop(servers []*server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		s.shutdown(ctx)
+	}
+	d.peers.Close()
+	d.cancel()
+	d.tasks.Wait()
+	d.upstreams.close()
+}
+
+// abort closes every connection at once.
+func (d *Daemon) abort(servers []*server) {
+	for _, s := range servers {
+		_ = s.http.Close()
+	}
+	d.cancel()
+	d.peers.Close()
+	d.tasks.Wait()
+}
+
+// shutdownTimeout bounds the end of idle connections after a drain.
+const shutdownTimeout = 2 * time.Second
+
+// server is one listener with its handler.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+func (s *server) serve() {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		klog.ErrorS(err, "listener failed", "listener", s.name)
+	}
+}
+
+func (s *server) shutdown(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+	}
+}
+
+// listen opens the three listeners.
+func (d *Daemon) listen() ([]*server, error) {
+	handlers := []struct {
+		name, addr string
+		handler    http.Handler
+	}{
+		{"callers", d.settings.CallerAddr, d.callerHandler()},
+		{"peers", d.settings.PeerAddr, d.peers.Handler()},
+		{"admin", d.settings.AdminAddr, d.adminHandler()},
+	}
+	var servers []*server
+	for _, h := range handlers {
+		listener, err := net.Listen("tcp", h.addr)
+		if err != nil {
+			closeAll(servers)
+			return nil, oops.In("daemon").With("listener", h.name).Wrapf(err, "listen on %s", h.addr)
+		}
+		servers = append(servers, &server{name: h.name, listener: listener, http: d.httpServer(h.handler)})
+	}
+	if err := d.securePeers(servers[1]); err != nil {
+		closeAll(servers)
+		return nil, err
+	}
+	return servers, nil
+}
+
+func closeAll(servers []*server) {
+	for _, s := range servers {
+		_ = s.listener.Close()
+	}
+}
+
+func (d *Daemon) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: d.settings.HeaderTimeout,
+		IdleTimeout:       d.settings.IdleTimeout,
+		MaxHeaderBytes:    d.settings.HeaderBytes,
+	}
+}
+
+// Ready reports whether the instance takes callers.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
+// Abort ends the daemon without a drain, as a crash would.
+func (d *Daemon) Abort() { close(d.aborted) }
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"io"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/bilberrywell/bilberrywell/internal/core"
+)
+
+// daemonMetrics holds the counters of a daemon.
+type daemonMetrics struct {
+	set      *metrics.Set
+	counters sync.Map
+}
+
+func newDaemonMetrics() *daemonMetrics {
+	return &daemonMetrics{set: metrics.NewSet()}
+}
+
+// count adds to a counter of the reducer.
+func (m *daemonMetrics) count(counter core.Counter, n uint64) {
+	c, ok := m.counters.Load(counter)
+	if !ok {
+		c, _ = m.counters.LoadOrStore(counter, m.set.GetOrCreateCounter("bilberry_"+string(counter)+"_total"))
+	}
+	c.(*metrics.Counter).AddInt64(int64(n))
+}
+
+// registerAll makes every counter visible from the start, so that a rate over it is defined.
+func (m *daemonMetrics) registerAll() {
+	for _, counter := range core.Counters() {
+		m.count(counter, 0)
+	}
+}
+
+// write writes all metrics in Prometheus text format.
+func (m *daemonMetrics) write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/daemon/rate.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// rateWindow is the time over which the rate of control bytes is taken.
+	rateWindow = time.Minute
+	// rateInterval is the time between samples.
+	rateInterval = 5 * time.Second
+)
+
+// byteRate is the mean rate of control bytes sent over the last minute.
+type byteRate struct {
+	set *metrics.Set
+
+	mu      sync.Mutex
+	samples []byteSample
+}
+
+type byteSample struct {
+	at    time.Time
+	bytes float64
+}
+
+func newByteRate(set *metrics.Set) *byteRate {
+	r := &byteRate{set: set}
+	r.sample()
+	return r
+}
+
+// run takes samples until ctx ends.
+func (r *byteRate) run(ctx context.Context) {
+	ticker := time.NewTicker(rateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.sample()
+		}
+	}
+}
+
+func (r *byteRate) sample() {
+	now := byteSample{at: time.Now(), bytes: r.total()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.samples = append(r.samples, now)
+	for now.at.Sub(r.samples[0].at) > rateWindow {
+		r.samples = r.samples[1:]
+	}
+}
+
+// perSecond returns the rate since the oldest sample.
+func (r *byteRate) perSecond() float64 {
+	total := r.total()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	oldest := r.samples[0]
+	elapsed := time.Since(oldest.at).Seconds()
+	if elapsed <= 0 {
+		return 0
+	}
+	return (total - oldest.bytes) / elapsed
+}
+
+// total sums the counters of sent control bytes over all kinds.
+func (r *byteRate) total() float64 {
+	var text bytes.Buffer
+	r.set.WritePrometheus(&text)
+	sum := 0.0
+	scanner := bufio.NewScanner(&text)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if !strings.HasPrefix(line, `bilberry_control_bytes_total{direction="sent"`) {
+			continue
+		}
+		value, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+		if err == nil {
+			sum += value
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/daemon/tls.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/samber/oops"
+
+	"github.com/bilberrywell/bilberrywell/internal/settings"
+)
+
+// peerTLS returns the TLS configuration of peer links, or nil when no certificates are set.
+// Both sides present a certificate of the fleet's authority.
+func peerTLS(s settings.Settings) (*tls.Config, error) {
+	if s.PeerTLSCertFile == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.PeerTLSCertFile, s.PeerTLSKeyFile)
+	if err != nil {
+		return nil, oops.In("daemon").Wrapf(err, "load the peer certificate")
+	}
+	pem, err := os.ReadFile(s.PeerTLSCAFile)
+	if err != nil {
+		return nil, oops.In("daemon").Wrapf(err, "read the peer authority")
+	}
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(pem) {
+		return nil, oops.In("daemon").Errorf("%s holds no certificate", s.PeerTLSCAFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      authority,
+		ClientCAs:    authority,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// securePeers wraps the peer listener in TLS when certificates are set.
+func (d *Daemon) securePeers(s *server) error {
+	config, err := peerTLS(d.settings)
+	if err != nil || config == nil {
+		return err
+	}
+	// WebSocket needs HTTP/1.1.
+	config.NextProtos = []string{"http/1.1"}
+	s.listener = tls.NewListener(s.listener, config)
+	return nil
+}
