Add the fault matrix

Cause: each fault has to be brought about at each step of each operation. Change: 15 faults at 23 steps, 10 chosen pairs, and planned stops that must cut nothing off; every cell checks the invariants.

--- /dev/null
+++ b/internal/faultmatrix/matrix_test.go
@@ -0,0 +1,176 @@
+package faultmatrix
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/internal/harness"
+)
+
+// matrixSeed seeds every cell.
+const matrixSeed = 20260301
+
+// TestMatrix guards against a fault that breaks an invariant at some step: each fault is
+// brought about at each step of each operation, under load, and the fleet must serve again afterwards.
+func TestMatrix(t *testing.T) {
+	results := make(map[string][]string)
+	cells := 0
+	for _, f := range faults {
+		for _, st := range steps {
+			cells++
+			name := f.name + "/" + st.operation + " " + st.name
+			t.Run(name, func(t *testing.T) {
+				found := runCell(f, nil, st)
+				if len(found) > 0 {
+					results[name] = found
+					t.Errorf("%d violations, first: %s", len(found), found[0])
+				}
+			})
+		}
+	}
+	t.Logf("fault matrix: %d cells run, %d cells failing, seed %d", cells, len(results), matrixSeed)
+}
+
+// pairs are faults that are brought about together.
+var pairs = [][2]string{
+	{"key-value service down", "instance killed"},
+	{"key-value service down", "home instance killed"},
+	{"answer lost after the write", "instance killed"},
+	{"answer lost after the write", "lease lapsed under a paused holder"},
+	{"differing live lists", "engine crash"},
+	{"differing live lists", "customer surge"},
+	{"late or crossed answer", "home instance killed"},
+	{"key-value service slow", "conflicting publishes"},
+	{"poison request", "instance killed"},
+	{"silent connection", "key-value service down"},
+}
+
+// TestPairs guards against faults that are harmless alone and break an invariant together.
+func TestPairs(t *testing.T) {
+	byName := make(map[string]fault)
+	for _, f := range faults {
+		byName[f.name] = f
+	}
+	cells, failing := 0, 0
+	for _, pair := range pairs {
+		second := byName[pair[1]]
+		for _, st := range steps {
+			cells++
+			t.Run(fmt.Sprintf("%s and %s/%s %s", pair[0], pair[1], st.operation, st.name), func(t *testing.T) {
+				if found := runCell(byName[pair[0]], &second, st); len(found) > 0 {
+					failing++
+					t.Errorf("%d violations, first: %s", len(found), found[0])
+				}
+			})
+		}
+	}
+	t.Logf("fault pairs: %d cells run, %d cells failing, seed %d", cells, failing, matrixSeed)
+}
+
+// runCell runs one cell and returns the violations.
+func runCell(f fault, second *fault, st step) []string {
+	s := newSession(matrixSeed)
+	s.load(12 * time.Second)
+	s.Run(2 * time.Second)
+	st.run(s, func() {
+		f.inject(s)
+		if second != nil {
+			second.inject(s)
+		}
+	})
+	publishLate := s.checkPublish()
+	s.Run(settleTime)
+	found := append(s.Violations(), publishLate...)
+	found = append(found, s.checkOrders()...)
+	found = append(found, s.checkPoison()...)
+	found = append(found, s.checkServesAgain()...)
+	sort.Strings(found)
+	return found
+}
+
+// checkPublish checks that an accepted publish is in force in time on every instance that is up and runs.
+func (s *session) checkPublish() []string {
+	if s.publish == nil {
+		return nil
+	}
+	s.RunUntil(settleTime, func() bool { return s.publish.Done })
+	if !s.publish.Done || s.publish.Err != nil {
+		return nil
+	}
+	version := s.publish.Accepted.Version
+	s.Run(s.publish.AcceptedAt + harness.ConfigDeadline - s.Now())
+	var found []string
+	for _, n := range s.Nodes {
+		if n.Runs() && n.UpFor() > harness.ConfigDeadline && n.Version < version {
+			found = append(found, fmt.Sprintf("I7: %s has version %d, %v after version %d was accepted", n.ID, n.Version, harness.ConfigDeadline, version))
+		}
+	}
+	return found
+}
+
+// checkOrders checks that an order that its caller saw booked has exactly one effect.
+func (s *session) checkOrders() []string {
+	var found []string
+	for _, c := range s.Calls {
+		booked := c.Result == harness.Complete || c.Result == harness.Replayed
+		if c.Key != "" && booked && s.Effect(c.Key) != 1 {
+			found = append(found, fmt.Sprintf("I4: key %s was answered as booked and has %d effects", c.Key, s.Effect(c.Key)))
+		}
+	}
+	return found
+}
+
+// checkPoison checks that a poison request costs at most two engines.
+func (s *session) checkPoison() []string {
+	poisoned, crashes := false, 0
+	for _, e := range s.chats {
+		poisoned = poisoned || len(e.Poison) > 0
+		crashes += e.Crashes
+	}
+	if poisoned && crashes > 2 {
+		return []string{fmt.Sprintf("poison request crashed %d engines", crashes)}
+	}
+	return nil
+}
+
+// checkServesAgain checks that chats and orders complete on every instance once the fault is over.
+func (s *session) checkServesAgain() []string {
+	first := len(s.Calls)
+	for i := range 12 {
+		n := s.Nodes[i%len(s.Nodes)]
+		s.Submit(n, harness.Chat("c0", "chat", fmt.Sprint("after-", i)), chatTokens)
+		s.order(n)
+		s.Run(100 * time.Millisecond)
+	}
+	s.Run(10 * time.Second)
+	var found []string
+	for _, c := range s.Calls[first:] {
+		if c.Result != harness.Complete {
+			found = append(found, fmt.Sprintf("after the fault a call ended with %q %s", c.Result, c.Code))
+		}
+	}
+	return found
+}
+
+// TestPlannedStopIsGraceful guards against a planned stop that fails requests in flight.
+func TestPlannedStopIsGraceful(t *testing.T) {
+	for _, st := range steps {
+		if st.operation != "chat" && st.operation != "order" {
+			continue
+		}
+		t.Run(st.operation+" "+st.name, func(t *testing.T) {
+			s := newSession(matrixSeed)
+			s.load(10 * time.Second)
+			s.Run(2 * time.Second)
+			st.run(s, func() { instanceStopped(s) })
+			s.Run(settleTime)
+			for i, c := range s.Calls {
+				require.Contains(t, []harness.Result{harness.Complete, harness.Replayed}, c.Result, "call %d: %s", i, c.Code)
+			}
+		})
+	}
+}
