rateshare: add fleet-wide customer rates; admission: add Next

Change: rateshare.Owner hands out expiring batches and is careful for one lapse after a change, rateshare.Bucket asks ahead and falls back to rate/N. admission.Home.Next; the golden session now covers deadlines, a second crash and heartbeat deltas, a property test the cache estimate. Conclusion: the fallback stays under the limit, and the share of cut-off instances is kept back once the owner is told of them.

--- a/admission/engine.go
+++ b/admission/engine.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
@@ -73,8 +74,38 @@
 	}
 }
 
-// Tick ends hold-downs, takeovers and waits whose time is over. Calling it every 10 to 50 ms
-// keeps the rewalk time accurate.
+// Next returns the time of the next change that Tick makes, and false without one. The shares of
+// customers also change with time, so a home with waiting requests needs a Tick each second
+// at the latest.
+func (h *Home) Next() (time.Duration, bool) {
+	next := time.Duration(math.MaxInt64)
+	for _, e := range h.order {
+		if e.held {
+			next = min(next, e.heldUntil)
+		}
+		if e.takeover.on {
+			next = min(next, e.takeover.until)
+		}
+		for _, a := range e.queue {
+			next = min(next, h.leaves(a))
+		}
+	}
+	return next, next != math.MaxInt64
+}
+
+// leaves returns the time at which a waiting request leaves the queue without a grant.
+func (h *Home) leaves(a *attempt) time.Duration {
+	at := a.arrival + h.config.QueueTime
+	if a.deadline != 0 {
+		at = min(at, a.deadline)
+	}
+	if !a.lastChoice {
+		at = min(at, a.queuedAt+h.config.Rewalk)
+	}
+	return at
+}
+
+// Tick ends hold-downs, takeovers and waits whose time is over, and forgets idle customers.
 func (h *Home) Tick(now time.Duration) {
 	for _, e := range h.order {
 		h.endHold(now, e)
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,6 +131,8 @@
 	default:
 		m.now += time.Duration(n) * 37 * time.Millisecond
 		m.home.Tick(m.now)
+		next, ok := m.home.Next()
+		require.True(m, !ok || next > m.now)
 	}
 }
 
@@ -197,3 +200,24 @@
 		}
 	})
 }
+
+// Guards against a cache estimate that forgets another chat than the least recently used one.
+func TestCacheEstimateKeepsRecentChats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		home := admission.New(admission.Config{CacheEntries: 4})
+		home.Adopt(0, admission.Engine{ID: "e", Pool: "p", Slots: 1, Capacity: 1}, false)
+		var want []fleet.ChatKey
+		for i, n := range rapid.SliceOf(rapid.IntRange(0, 15)).Draw(t, "chats") {
+			chat, event := fleet.ChatKey(n%8), admission.CacheEvent{Seq: uint64(i + 1), At: time.Duration(i + 1)}
+			want = slices.DeleteFunc(want, func(c fleet.ChatKey) bool { return c == chat })
+			if n < 8 {
+				event.Stored = []fleet.ChatKey{chat}
+				want = slices.Insert(want, 0, chat)[:min(4, len(want)+1)]
+			} else {
+				event.Evicted = []fleet.ChatKey{chat}
+			}
+			home.CacheEvent("e", event)
+			require.Equal(t, fmt.Sprint(want), fmt.Sprint(home.WarmChats("e", 9)))
+		}
+	})
+}
--- a/admission/session_test.go
+++ b/admission/session_test.go
@@ -93,6 +93,7 @@
 	guard := quarantine.New(quarantine.Config{})
 	home := admission.New(admission.Config{Guard: guard})
 	var got bytes.Buffer
+	var sent admission.Counts
 	for line := range strings.Lines(string(want)) {
 		if strings.HasPrefix(line, "  ") {
 			continue
@@ -106,8 +107,14 @@
 			got.WriteString(show(d))
 		}
 		if s, ok := home.Status("e1"); ok {
-			fmt.Fprintf(&got, "  e1 %+v saturated=%v\n", s, home.Counts().Saturated)
+			fmt.Fprintf(&got, "  e1 %+v\n", s)
 		}
+		counts := home.Counts()
+		if delta := counts.Since(sent); !delta.Empty() {
+			fmt.Fprintf(&got, "  heartbeat %+v\n", delta)
+			sent = sent.Apply(delta)
+		}
+		require.Equal(t, fmt.Sprint(counts), fmt.Sprint(sent))
 	}
 	if *update {
 		require.NoError(t, os.WriteFile("testdata/session.txt", got.Bytes(), 0o644))
--- a/affinity/home_test.go
+++ b/affinity/home_test.go
@@ -74,3 +74,26 @@
 		})
 	}
 }
+
+// BenchmarkHome looks up the homes of n engines among 490 instances of 13 data centres.
+func BenchmarkHome(b *testing.B) {
+	var live []affinity.Instance
+	for i := range 490 {
+		live = append(live, affinity.Instance{ID: fleet.InstanceID(fmt.Sprint("n", i)), DataCentre: fleet.DataCentre(fmt.Sprint(i % 13))})
+	}
+	for _, n := range []int{10, 20, 500, 1600} {
+		list := candidates(n)
+		b.Run(fmt.Sprintf("direct/%d", n), func(b *testing.B) {
+			for i := range b.N {
+				affinity.HomeOf(fleet.EngineID(list[i%n].ID), "7", live)
+			}
+		})
+		b.Run(fmt.Sprintf("cached/%d", n), func(b *testing.B) {
+			var cache affinity.HomeCache
+			cache.Update(live)
+			for i := range b.N {
+				cache.Home(fleet.EngineID(list[i%n].ID), "7")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/rateshare/rateshare_test.go
@@ -0,0 +1,157 @@
+package rateshare_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/rateshare"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func Example() {
+	limit := rateshare.Limit{Rate: 100, Burst: 10}
+	owner := rateshare.NewOwner(rateshare.Config{}, 1)
+	owner.Own(0, "kiosk", limit)
+	bucket := rateshare.NewBucket(rateshare.Config{}, limit, 7)
+	now := 2 * time.Second
+	fmt.Println(bucket.Take(now))
+	ask, _ := bucket.Ask(now)
+	batch, _ := owner.Request(now, "kiosk", ask.Want)
+	fmt.Println(bucket.Fill(now, ask.ID, batch), bucket.Take(now))
+	// Output:
+	// false
+	// true true
+}
+
+// meter holds the largest excess over rate*W of the sum of a flow over all windows W that end now.
+type meter struct {
+	rate, excess float64
+	at           time.Duration
+}
+
+func (m *meter) add(now time.Duration, tokens int) float64 {
+	m.excess = max(0, m.excess-m.rate*(now-m.at).Seconds()) + float64(tokens)
+	m.at = now
+	return m.excess
+}
+
+// Guards against owners that hand out more than rate*W + burst in some window, alone or while
+// an old owner is still active for one lapse time beside a new one, with batches returned twice.
+func TestHandedOutStaysWithinTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rateshare.Limit{Rate: rapid.Float64Range(0.1, 200).Draw(t, "rate"), Burst: rapid.Float64Range(1, 50).Draw(t, "burst")}
+		owners := []*rateshare.Owner{rateshare.NewOwner(rateshare.Config{}, 1), rateshare.NewOwner(rateshare.Config{}, 2)}
+		owners[0].Own(0, "c", limit)
+		both := meter{rate: limit.Rate}
+		change := time.Duration(rapid.IntRange(1, 10).Draw(t, "change")) * time.Second
+		var now time.Duration
+		batches := make([][]rateshare.Batch, 2)
+		for range 100 {
+			step := time.Duration(rapid.IntRange(0, 250).Draw(t, "ms")) * time.Millisecond
+			if now < change && now+step >= change {
+				owners[1].Own(change, "c", limit)
+			}
+			if now += step; now > change+time.Second {
+				owners[0].Disown("c")
+			}
+			which := rapid.IntRange(0, 1).Draw(t, "owner")
+			if batch, ok := owners[which].Request(now, "c", rapid.IntRange(0, 60).Draw(t, "want")); ok {
+				batches[which] = append(batches[which], batch)
+				require.LessOrEqual(t, both.add(now, batch.Tokens), limit.Burst+limit.Rate/4+1e-6)
+			}
+			if n := len(batches[which]); n > 0 && rapid.Bool().Draw(t, "return") {
+				batch := batches[which][rapid.IntRange(0, n-1).Draw(t, "which")]
+				if owners[which].Return(now, "c", batch.ID, batch.Tokens) {
+					both.add(now, -batch.Tokens)
+					require.False(t, owners[which].Return(now, "c", batch.ID, batch.Tokens))
+				}
+			}
+		}
+	})
+}
+
+// outage admits a load of 1.5 times the whole rate at each of n instances for 30 s without an
+// owner and returns admitted/limit for this package and for full local buckets.
+func outage(n int) (shared, local float64) {
+	limit := rateshare.Limit{Rate: 20, Burst: 20}
+	const seconds, gap = 30, time.Second / 30
+	for range n {
+		bucket, tokens := rateshare.NewBucket(rateshare.Config{}, limit, n), limit.Burst
+		for now := time.Duration(0); now < seconds*time.Second; now += gap {
+			if bucket.Take(now) {
+				shared++
+			}
+			bucket.Ask(now)
+			if tokens = min(limit.Burst, tokens+limit.Rate*gap.Seconds()); tokens >= 1 {
+				tokens--
+				local++
+			}
+		}
+	}
+	allowed := limit.Rate*seconds + limit.Burst
+	return shared / allowed, local / allowed
+}
+
+// Guards against a fallback that admits more than the customer's rate over the fleet.
+func TestOutageStaysWithinTheRate(t *testing.T) {
+	for _, n := range []int{7, 490} {
+		shared, local := outage(n)
+		t.Logf("%d instances: admitted/limit %.3f, with full local buckets %.3f", n, shared, local)
+		require.LessOrEqual(t, shared, 1.0)
+		require.Greater(t, local, 0.9*float64(n))
+	}
+}
+
+// Guards against tokens that are lost to the fleet, and against an owner that gives away the
+// share of instances that do not reach it.
+func TestEntriesReachTheRate(t *testing.T) {
+	limit := rateshare.Limit{Rate: 50, Burst: 50}
+	for _, unreachable := range []int{0, 3} {
+		owner, buckets, admitted := rateshare.NewOwner(rateshare.Config{}, 1), make([]*rateshare.Bucket, 6), 0
+		owner.Own(0, "c", limit)
+		owner.SetUnreachable(0, unreachable, len(buckets))
+		for i := range buckets {
+			buckets[i] = rateshare.NewBucket(rateshare.Config{}, limit, len(buckets))
+		}
+		for tick := range 6000 {
+			now := time.Duration(tick) * 10 * time.Millisecond
+			bucket := buckets[tick*5%(1+tick%6)]
+			if bucket.Take(now) {
+				admitted++
+			}
+			if ask, ok := bucket.Ask(now); ok {
+				batch, _ := owner.Request(now, "c", ask.Want)
+				bucket.Fill(now, ask.ID, batch)
+			}
+			for _, unused := range bucket.Surplus(now) {
+				owner.Return(now, "c", unused.ID, unused.Tokens)
+			}
+		}
+		allowed := limit.Rate * 60 * float64(6-unreachable) / 6
+		t.Logf("admitted %d of %.0f in 60 s with %d of 6 instances unreachable", admitted, allowed, unreachable)
+		require.GreaterOrEqual(t, float64(admitted), 0.9*allowed)
+		require.LessOrEqual(t, float64(admitted), allowed+limit.Burst)
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	limit := rateshare.Limit{Rate: 1e6, Burst: 1e6}
+	owner, bucket := rateshare.NewOwner(rateshare.Config{}, 1), rateshare.NewBucket(rateshare.Config{}, limit, 7)
+	owner.Own(0, "c", limit)
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * 10 * time.Microsecond
+		bucket.Take(now)
+		if ask, ok := bucket.Ask(now); ok {
+			batch, _ := owner.Request(now, fleet.CustomerID("c"), ask.Want)
+			bucket.Fill(now, ask.ID, batch)
+		}
+	}
+}
