admission: drain queues after a late end of hold-down and a pool change

Cause: an offer that finds a hold-down over, and an adoption that moves an engine to another pool, change the bounds of other engines without looking at their queues until the next input. Change: both drain the pools concerned.

--- a/admission/engine.go
+++ b/admission/engine.go
@@ -71,6 +71,7 @@
 func (h *Home) endHold(now time.Duration, e *engine) {
 	if e.held && now >= e.heldUntil {
 		h.setOpen(e, func() { e.held = false })
+		h.drain(now, e.pool)
 	}
 }
 
--- a/admission/home.go
+++ b/admission/home.go
@@ -106,12 +106,16 @@
 	if !known {
 		e = h.newEngine(now, engine.ID, takeover)
 	}
-	if e.pool != nil {
+	former := e.pool
+	if former != nil {
 		h.leavePool(e)
 	}
 	e.Engine = engine
 	h.joinPool(e)
 	h.drain(now, e.pool)
+	if former != nil && former != e.pool {
+		h.drain(now, former)
+	}
 }
 
 func (h *Home) newEngine(now time.Duration, id fleet.EngineID, takeover bool) *engine {
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -57,7 +57,8 @@
 	m.state[d.Attempt], m.where[d.Attempt] = d.Kind, d.Engine
 }
 
-// check settles the later decisions and compares the counts with the account.
+// check settles the later decisions, compares the counts with the account and looks for
+// requests that wait although there is room.
 func (m *model) check() {
 	for _, d := range m.home.Decisions() {
 		require.Equal(m, admission.Queued, m.state[d.Attempt])
@@ -75,6 +76,7 @@
 			require.Equal(m, running[e], s.InFlight)
 			require.Equal(m, waiting[e], s.Waiting)
 			require.LessOrEqual(m, s.InFlight, modelSlots)
+			require.False(m, s.Waiting > 0 && s.InFlight < s.Limit && !s.Takeover, "waits beside a free slot")
 		}
 	}
 }
