--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,7 +57,8 @@
 	m.state[d.Attempt], m.where[d.Attempt] = d.Kind, d.Engine
 }
 
-// check settles the later decisions and compares the counts with the account.
+// check settles the later decisions, compares the counts with the account and looks for
+// requests that wait although there is room.
 func (m *model) check() {
 	for _, d := range m.home.Decisions() {
 		require.Equal(m, admission.Queued, m.state[d.Attempt])
@@ -74,6 +76,7 @@
 			require.Equal(m, running[e], s.InFlight)
 			require.Equal(m, waiting[e], s.Waiting)
 			require.LessOrEqual(m, s.InFlight, modelSlots)
+			require.False(m, s.Waiting > 0 && s.InFlight < s.Limit && !s.Takeover, "waits beside a free slot")
 		}
 	}
 }
@@ -130,6 +133,8 @@
 	default:
 		m.now += time.Duration(n) * 37 * time.Millisecond
 		m.home.Tick(m.now)
+		next, ok := m.home.Next()
+		require.True(m, !ok || next > m.now)
 	}
 }
 
@@ -175,8 +180,8 @@
 	}
 }
 
-// Guards against a takeover that exceeds its share while registered attempts arrive, and
-// against homes that together exceed (1 + share) * bound of one engine.
+// Guards against a takeover that grants more than its share of the bound while registered
+// attempts arrive, so that two homes together would exceed (1 + share) * bound.
 func TestTakeoverStaysWithinItsShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		home := admission.New(admission.Config{})
@@ -188,12 +193,33 @@
 			if i < registered {
 				home.Register(0, "n", []admission.Registration{{Attempt: fleet.AttemptID(fmt.Sprint("r", i)), Engine: "e"}})
 			}
+			bound := affinity.Bound(1.25, others+min(i+1, registered)+granted, 10, 1)
 			d := home.Offer(0, admission.Request{Attempt: fleet.AttemptID(fmt.Sprint(i)), Engine: "e"})
 			if d.Kind == admission.Granted {
 				granted++
 			}
-			bound := affinity.Bound(1.25, others+registered+granted, 10, 1)
 			require.LessOrEqual(t, granted, max(1, bound/4))
 		}
 	})
 }
+
+// Guards against a cache estimate that forgets another chat than the least recently used one.
+func TestCacheEstimateKeepsRecentChats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		home := admission.New(admission.Config{CacheEntries: 4})
+		home.Adopt(0, admission.Engine{ID: "e", Pool: "p", Slots: 1, Capacity: 1}, false)
+		var want []fleet.ChatKey
+		for i, n := range rapid.SliceOf(rapid.IntRange(0, 15)).Draw(t, "chats") {
+			chat, event := fleet.ChatKey(n%8), admission.CacheEvent{Seq: uint64(i + 1), At: time.Duration(i + 1)}
+			want = slices.DeleteFunc(want, func(c fleet.ChatKey) bool { return c == chat })
+			if n < 8 {
+				event.Stored = []fleet.ChatKey{chat}
+				want = slices.Insert(want, 0, chat)[:min(4, len(want)+1)]
+			} else {
+				event.Evicted = []fleet.ChatKey{chat}
+			}
+			home.CacheEvent("e", event)
+			require.Equal(t, fmt.Sprint(want), fmt.Sprint(home.WarmChats("e", 9)))
+		}
+	})
+}
