--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,22 +18,37 @@
 // TestMatrix guards against a fault that breaks an invariant at some step: each fault is
 // brought about at each step of each operation, under load, and the fleet must serve again afterwards.
 func TestMatrix(t *testing.T) {
-	results := make(map[string][]string)
-	cells := 0
+	var sum summary
 	for _, f := range faults {
 		for _, st := range steps {
-			cells++
-			name := f.name + "/" + st.operation + " " + st.name
-			t.Run(name, func(t *testing.T) {
-				found := runCell(f, nil, st)
-				if len(found) > 0 {
-					results[name] = found
-					t.Errorf("%d violations, first: %s", len(found), found[0])
-				}
-			})
+			sum.cell(t, f.name+"/"+st.operation+" "+st.name, func() []string { return runCell(f, nil, st) })
 		}
 	}
-	t.Logf("fault matrix: %d cells run, %d cells failing, seed %d", cells, len(results), matrixSeed)
+	sum.print(t, "fault matrix")
+}
+
+// summary counts the cells of a matrix.
+type summary struct {
+	cells, failing atomic.Int32
+}
+
+// cell runs one cell in parallel with others; cells share nothing.
+func (s *summary) cell(t *testing.T, name string, run func() []string) {
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		s.cells.Add(1)
+		if found := run(); len(found) > 0 {
+			s.failing.Add(1)
+			t.Errorf("%d violations, first: %s", len(found), found[0])
+		}
+	})
+}
+
+// print reports the counts once all cells have ended.
+func (s *summary) print(t *testing.T, name string) {
+	t.Cleanup(func() {
+		t.Logf("%s: %d cells run, %d cells failing, seed %d", name, s.cells.Load(), s.failing.Load(), matrixSeed)
+	})
 }
 
 // pairs are faults that are brought about together.
@@ -55,20 +71,15 @@
 	for _, f := range faults {
 		byName[f.name] = f
 	}
-	cells, failing := 0, 0
+	var sum summary
 	for _, pair := range pairs {
 		second := byName[pair[1]]
 		for _, st := range steps {
-			cells++
-			t.Run(fmt.Sprintf("%s and %s/%s %s", pair[0], pair[1], st.operation, st.name), func(t *testing.T) {
-				if found := runCell(byName[pair[0]], &second, st); len(found) > 0 {
-					failing++
-					t.Errorf("%d violations, first: %s", len(found), found[0])
-				}
-			})
+			name := fmt.Sprintf("%s and %s/%s %s", pair[0], pair[1], st.operation, st.name)
+			sum.cell(t, name, func() []string { return runCell(byName[pair[0]], &second, st) })
 		}
 	}
-	t.Logf("fault pairs: %d cells run, %d cells failing, seed %d", cells, failing, matrixSeed)
+	sum.print(t, "fault pairs")
 }
 
 // runCell runs one cell and returns the violations.
