claim: keep heads and segments below 1 MB

Cause: claims were accepted up to a head of 768 KiB, and a batch of outcomes of 256 KiB could follow; SealBytes had no upper bound.

Change: refuse claims above 512 KiB and cap SealBytes at 256 KiB.

--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/bilberrywell/bilberrywell/claim"
 )
 
@@ -22,10 +24,12 @@
 	granted []claim.Key
 	written int
 	swaps   int
+	largest int
+	body    int
 }
 
 func newLoad(sealBytes int) *load {
-	l := &load{store: memory{}, rng: rand.New(rand.NewPCG(1, 2))}
+	l := &load{store: memory{}, body: 200, rng: rand.New(rand.NewPCG(1, 2))}
 	l.p = claim.New(claim.Config{SealBytes: sealBytes, Writer: claim.Holder{Instance: "w"}}, l.rng)
 	return l
 }
@@ -39,6 +43,7 @@
 		case claim.Swap:
 			l.written += len(e.Value)
 			l.swaps++
+			l.largest = max(l.largest, len(e.Value))
 			revision, kind := l.store.swap(e)
 			l.do(l.p.Swapped(l.now, e.Call, revision, kind))
 		case claim.Reply:
@@ -49,12 +54,16 @@
 	}
 }
 
-// batch finishes the granted calls, claims n new ones and stores both.
-func (l *load) batch(n int) {
+// finish ends the granted calls.
+func (l *load) finish() {
 	l.running, l.granted = l.granted, l.running[:0]
 	for _, k := range l.running {
-		l.do(l.p.Finish(l.now, k, 1, claim.Outcome{Status: 201, ContentType: "application/json", Body: make([]byte, 200)}))
+		l.do(l.p.Finish(l.now, k, 1, claim.Outcome{Status: 201, ContentType: "application/json", Body: make([]byte, l.body)}))
 	}
+}
+
+// batch claims n new calls and stores them with the outcomes that wait.
+func (l *load) batch(n int) {
 	for range n {
 		var k claim.Key
 		binary.BigEndian.PutUint64(k[:], l.rng.Uint64())
@@ -66,6 +75,21 @@
 	l.do(l.p.Tick(l.now, l.now.Milliseconds()))
 }
 
+// Guards against a value above the platform's 1 MB when many running calls end with large bodies.
+func TestValuesStayBelowLimit(t *testing.T) {
+	l := newLoad(1 << 20)
+	l.body = claim.MaxBodyBytes
+	for range 3 {
+		l.batch(4000)
+	}
+	l.finish()
+	for range 300 {
+		l.batch(0)
+	}
+	require.True(t, l.p.Idle())
+	require.Less(t, l.largest, 1<<20)
+}
+
 // BenchmarkClaims measures one claim with its outcome on one core, and the bytes and writes per
 // claim, by batch size and head size.
 func BenchmarkClaims(b *testing.B) {
@@ -75,6 +99,7 @@
 				l := newLoad(seal)
 				claims := 0
 				for b.Loop() {
+					l.finish()
 					l.batch(n)
 					claims += n
 				}
@@ -92,6 +117,7 @@
 	const claims = 100_000
 	l := newLoad(64 << 10)
 	for range claims / 128 {
+		l.finish()
 		l.batch(128)
 	}
 	for b.Loop() {
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -5,15 +5,18 @@
 	"time"
 )
 
-// maxBatchBytes bounds the growth of the head by one batch. With the default SealBytes it keeps
-// heads and segments far below the platform's limit of 1 MB.
+// maxBatchBytes bounds the growth of the head by one batch.
 const maxBatchBytes = 256 << 10
 
 // maxContentTypeBytes bounds the recorded content type. An outcome with a longer one keeps only its status.
 const maxContentTypeBytes = 256
 
-// maxHeadBytes is the head size above which new claims are refused.
-const maxHeadBytes = 768 << 10
+// maxHeadBytes is the head size above which new claims are refused. A batch of outcomes may
+// follow on top, and the platform refuses values above 1 MB.
+const maxHeadBytes = 512 << 10
+
+// maxSealBytes bounds SealBytes, so that a batch on top still fits into one segment.
+const maxSealBytes = 256 << 10
 
 // Partition is the state machine of one writer of a claim partition. It is not safe for
 // concurrent use. Every method returns the effects to carry out.
--- a/claim/types.go
+++ b/claim/types.go
@@ -173,7 +173,7 @@
 	BackoffMin, BackoffMax time.Duration
 	// Retention is how long outcomes are kept. Default 24 h.
 	Retention time.Duration
-	// SealBytes is the head size at which finished records move to a segment. Default 64 KiB. A
+	// SealBytes is the head size at which finished records move to a segment. Default 64 KiB, at most 256 KiB. A
 	// smaller one writes fewer bytes per claim in small batches, but makes more segments, which
 	// slow down lookups and takeover; see BenchmarkClaims.
 	SealBytes int
@@ -190,6 +190,7 @@
 	setDefault(&c.BackoffMax, 2*time.Second)
 	setDefault(&c.Retention, 24*time.Hour)
 	setDefault(&c.SealBytes, 64<<10)
+	c.SealBytes = min(c.SealBytes, maxSealBytes)
 	setDefault(&c.MaxPending, 4096)
 	return c
 }
