Hold customer rates over the whole fleet

Change: the reducer takes rate tokens from a customer's owner instance; without an owner an instance falls back to its share. Retry-After is rounded up: an empty answer that rounded to zero made a bucket ask its own instance for ever.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -109,7 +109,7 @@
 	self := membership.Instance{ID: cfg.Instance, Addr: cfg.PeerAddr, DataCentre: cfg.DataCentre, Region: cfg.Region}
 	c.view = membership.New(self, cfg.Incarnation, membership.Config{Interval: cfg.HeartbeatInterval})
 	c.entry.init()
-	c.rates.init()
+	c.rates.init(cfg.Incarnation)
 	c.homes.init(c)
 	c.claims.init()
 	c.members.init()
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -73,6 +73,13 @@
 			Region:     row.Region,
 		}, Leaving: row.Leaving}
 	}
+	region := 0
+	for _, row := range rows {
+		if row.Region == c.cfg.Region {
+			region++
+		}
+	}
+	c.setFleetSize(region, len(rows))
 	c.applyChanges(c.view.List(c.mono(), rows))
 	c.planLinks()
 }
@@ -108,6 +115,7 @@
 	if epoch := c.view.Epoch(); epoch != c.members.epoch {
 		c.members.epoch = epoch
 		c.reassignHomes()
+		c.rateOwnersChanged()
 	}
 }
 
--- a/internal/core/rates.go
+++ b/internal/core/rates.go
@@ -1,27 +1,279 @@
 package core
 
 import (
+	"slices"
+	"time"
+
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/rateshare"
 )
 
-type rateState struct{}
+const (
+	// rateWait is the longest wait for rate tokens. It outlasts the second after which a
+	// bucket without an owner falls back to its own share.
+	rateWait = 1500 * time.Millisecond
+	// rateTickInterval is the time between looks at buckets that wait for tokens.
+	rateTickInterval = 20 * time.Millisecond
+	// surplusInterval is the time between returns of unused tokens.
+	surplusInterval = 200 * time.Millisecond
+)
 
-func (s *rateState) init() {}
+// rateState is the state of customer rates, both as entry and as owner.
+type rateState struct {
+	buckets map[fleet.CustomerID]*rateBucket
+	owner   *rateshare.Owner
+	// owners remembers the owners of customers until the view changes.
+	owners      map[fleet.CustomerID]fleet.InstanceID
+	active      []fleet.CustomerID
+	nextTick    time.Duration
+	nextSurplus time.Duration
+	// configured is the number of listed instances of the region, listed that of the fleet.
+	configured, listed int
+}
+
+// rateBucket is a customer's bucket with the requests that wait for its tokens, in order of arrival.
+type rateBucket struct {
+	*rateshare.Bucket
+	waiting []*request
+	active  bool
+}
+
+func (s *rateState) init(incarnation uint64) {
+	s.buckets = make(map[fleet.CustomerID]*rateBucket)
+	s.owners = make(map[fleet.CustomerID]fleet.InstanceID)
+	s.owner = rateshare.NewOwner(rateshare.Config{}, incarnation)
+	s.configured, s.listed = 1, 1
+}
+
+// configureRates applies published limits and the size of the fleet to buckets and owned customers.
+func (c *Core) configureRates() {
+	if c.snapshot == nil {
+		return
+	}
+	for id, b := range c.rates.buckets {
+		if c.snapshot.Customers[id] == nil {
+			delete(c.rates.buckets, id)
+			c.rates.owner.Disown(id)
+			continue
+		}
+		b.SetLimit(c.mono(), c.rateLimit(id), c.rates.configured)
+	}
+}
 
-func (c *Core) configureRates() {}
-func (c *Core) tickRates()      {}
+// rateLimit returns the region's part of a customer's rate. Regions can lose each other for
+// an hour, so that each has a fixed part by its number of instances.
+func (c *Core) rateLimit(id fleet.CustomerID) rateshare.Limit {
+	customer := c.snapshot.Customers[id]
+	share := float64(c.rates.configured) / float64(c.rates.listed)
+	return rateshare.Limit{Rate: customer.RatePerSecond * share, Burst: customer.Burst * share}
+}
 
-func (c *Core) takeRate(r *request) { c.rateTaken(r) }
+// setFleetSize follows the platform's list.
+func (c *Core) setFleetSize(region, all int) {
+	if region < 1 || (region == c.rates.configured && all == c.rates.listed) {
+		return
+	}
+	c.rates.configured, c.rates.listed = region, all
+	c.configureRates()
+}
+
+// rateOwnersChanged follows a change of the view.
+func (c *Core) rateOwnersChanged() {
+	before := c.rates.owners
+	c.rates.owners = make(map[fleet.CustomerID]fleet.InstanceID, len(before))
+	for id, b := range c.rates.buckets {
+		if b.active && c.rateOwner(id) != before[id] {
+			b.OwnerChanged()
+		}
+	}
+	live := len(c.view.Live(c.cfg.Region))
+	c.rates.owner.SetUnreachable(c.mono(), max(0, c.rates.configured-live), c.rates.configured)
+}
+
+// rateOwner returns the instance that owns a customer's tokens.
+func (c *Core) rateOwner(id fleet.CustomerID) fleet.InstanceID {
+	owner, ok := c.rates.owners[id]
+	if !ok {
+		live := c.view.Homes(c.cfg.Region)
+		ids := make([]fleet.InstanceID, len(live))
+		for i, instance := range live {
+			ids[i] = instance.ID
+		}
+		owner = rateshare.OwnerOf(id, ids)
+		c.rates.owners[id] = owner
+	}
+	return owner
+}
+
+func (c *Core) bucket(id fleet.CustomerID) *rateBucket {
+	b := c.rates.buckets[id]
+	if b == nil {
+		b = &rateBucket{Bucket: rateshare.NewBucket(rateshare.Config{}, c.rateLimit(id), c.rates.configured)}
+		c.rates.buckets[id] = b
+	}
+	return b
+}
+
+// takeRate admits a request within its customer's rate, or lets it wait for tokens.
+func (c *Core) takeRate(r *request) {
+	b := c.bucket(r.call.Customer)
+	if len(b.waiting) == 0 && b.Take(c.mono()) {
+		c.askRate(r.call.Customer, b)
+		c.rateTaken(r)
+		return
+	}
+	r.stage = stageRate
+	c.setTimer(r, c.mono()+rateWait)
+	b.waiting = append(b.waiting, r)
+	c.askRate(r.call.Customer, b)
+}
 
 // rateTaken continues a request that is within its customer's rate.
 func (c *Core) rateTaken(r *request) {
+	c.stopTimer(r)
 	if r.call.NonIdempotent {
 		c.startClaim(r)
 		return
 	}
 	c.startAdmission(r)
 }
-func (c *Core) rateTimedOut(r *request)                           {}
-func (c *Core) rateRequested(fleet.InstanceID, *wire.RateRequest) {}
-func (c *Core) rateGranted(fleet.InstanceID, *wire.RateGrant)     {}
+
+// askRate sends the bucket's ask, if it has one, to the customer's owner.
+func (c *Core) askRate(id fleet.CustomerID, b *rateBucket) {
+	if !b.active {
+		b.active = true
+		c.rates.active = append(c.rates.active, id)
+	}
+	ask, ok := b.Ask(c.mono())
+	if !ok {
+		return
+	}
+	if owner := c.rateOwner(id); owner != "" {
+		c.send(owner, &wire.RateRequest{Customer: id, Ask: ask.ID, Want: ask.Want})
+	}
+}
+
+// rateRequested answers an ask as the customer's owner.
+func (c *Core) rateRequested(from fleet.InstanceID, m *wire.RateRequest) {
+	if c.snapshot == nil || c.snapshot.Customers[m.Customer] == nil {
+		return
+	}
+	if c.rateOwner(m.Customer) != c.cfg.Instance {
+		c.rates.owner.Disown(m.Customer)
+		return
+	}
+	c.rates.owner.Own(c.mono(), m.Customer, c.rateLimit(m.Customer))
+	if m.Returned > 0 {
+		id := rateshare.BatchID{Incarnation: m.BatchOwner, Seq: m.Batch}
+		c.rates.owner.Return(c.mono(), m.Customer, id, m.Returned)
+	}
+	if m.Ask == 0 {
+		return
+	}
+	batch, ok := c.rates.owner.Request(c.mono(), m.Customer, m.Want)
+	if !ok {
+		return
+	}
+	c.send(from, &wire.RateGrant{
+		Customer:     m.Customer,
+		Ask:          m.Ask,
+		BatchOwner:   batch.ID.Incarnation,
+		Batch:        batch.ID.Seq,
+		Tokens:       batch.Tokens,
+		LifeMs:       millis(batch.Life),
+		RetryAfterMs: millis(batch.RetryAfter + time.Millisecond - 1),
+	})
+}
+
+// rateGranted fills a bucket and admits the requests that wait for it.
+func (c *Core) rateGranted(_ fleet.InstanceID, m *wire.RateGrant) {
+	b := c.rates.buckets[m.Customer]
+	if b == nil {
+		return
+	}
+	b.Fill(c.mono(), m.Ask, rateshare.Batch{
+		ID:         rateshare.BatchID{Incarnation: m.BatchOwner, Seq: m.Batch},
+		Tokens:     m.Tokens,
+		Life:       time.Duration(m.LifeMs) * time.Millisecond,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+	})
+	c.admitWaiting(m.Customer, b)
+}
+
+// admitWaiting admits waiting requests as far as the tokens go.
+func (c *Core) admitWaiting(id fleet.CustomerID, b *rateBucket) {
+	for len(b.waiting) > 0 {
+		r := b.waiting[0]
+		if r.stage == stageRate && c.entry.requests[r.id] == r {
+			if !b.Take(c.mono()) {
+				break
+			}
+			b.waiting = b.waiting[1:]
+			c.rateTaken(r)
+			continue
+		}
+		b.waiting = b.waiting[1:]
+	}
+	c.askRate(id, b)
+}
+
+// rateTimedOut refuses a request that is over its customer's rate.
+func (c *Core) rateTimedOut(r *request) {
+	b := c.bucket(r.call.Customer)
+	b.waiting = slices.DeleteFunc(b.waiting, func(other *request) bool { return other == r })
+	c.count(CounterRateLimited, 1)
+	c.fail(r, FailureNotRun, CodeRateLimited, "the customer's request rate is used up", overloadRetryAfter)
+}
+
+// tickRates looks at the buckets that wait for an owner's answer and returns unused tokens.
+func (c *Core) tickRates() {
+	if c.mono() < c.rates.nextTick {
+		return
+	}
+	c.rates.nextTick = c.mono() + rateTickInterval
+	surplus := c.mono() >= c.rates.nextSurplus
+	if surplus {
+		c.rates.nextSurplus = c.mono() + surplusInterval
+	}
+	keep := c.rates.active[:0]
+	for _, id := range c.rates.active {
+		b := c.rates.buckets[id]
+		if b == nil {
+			continue
+		}
+		c.tickBucket(id, b, surplus)
+		if b.active {
+			keep = append(keep, id)
+		}
+	}
+	c.rates.active = keep
+}
+
+func (c *Core) tickBucket(id fleet.CustomerID, b *rateBucket, surplus bool) {
+	at, asks := b.NextAsk()
+	if len(b.waiting) > 0 || (asks && c.mono() >= at) {
+		c.admitWaiting(id, b)
+	}
+	if surplus {
+		c.returnSurplus(id, b)
+	}
+	if len(b.waiting) == 0 && !asks && b.Tokens(c.mono()) == 0 {
+		b.active = false
+	}
+}
+
+func (c *Core) returnSurplus(id fleet.CustomerID, b *rateBucket) {
+	owner := c.rateOwner(id)
+	for _, unused := range b.Surplus(c.mono()) {
+		if owner == "" {
+			continue
+		}
+		c.send(owner, &wire.RateRequest{
+			Customer:   id,
+			BatchOwner: unused.ID.Incarnation,
+			Batch:      unused.ID.Seq,
+			Returned:   unused.Tokens,
+		})
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -166,18 +166,28 @@
 	Engines []fleet.EngineID `cbor:"1,keyasint"`
 }
 
-// RateRequest asks a customer's owner instance for rate tokens.
+// RateRequest asks a customer's owner instance for rate tokens, or returns unused ones of a batch.
 type RateRequest struct {
 	Customer fleet.CustomerID `cbor:"1,keyasint"`
-	Want     float64          `cbor:"2,keyasint,omitempty"`
-	Returned float64          `cbor:"3,keyasint,omitempty"`
+	// Ask is echoed in the grant. Zero means that tokens are only returned.
+	Ask  uint64 `cbor:"2,keyasint,omitempty"`
+	Want int    `cbor:"3,keyasint,omitempty"`
+	// BatchOwner and Batch name the batch of the Returned tokens.
+	BatchOwner uint64 `cbor:"4,keyasint,omitempty"`
+	Batch      uint64 `cbor:"5,keyasint,omitempty"`
+	Returned   int    `cbor:"6,keyasint,omitempty"`
 }
 
 // RateGrant hands out rate tokens that expire.
 type RateGrant struct {
-	Customer fleet.CustomerID `cbor:"1,keyasint"`
-	Tokens   float64          `cbor:"2,keyasint,omitempty"`
-	LapseMs  uint32           `cbor:"3,keyasint,omitempty"`
+	Customer   fleet.CustomerID `cbor:"1,keyasint"`
+	Ask        uint64           `cbor:"2,keyasint"`
+	BatchOwner uint64           `cbor:"3,keyasint,omitempty"`
+	Batch      uint64           `cbor:"4,keyasint,omitempty"`
+	Tokens     int              `cbor:"5,keyasint,omitempty"`
+	// LifeMs counts from the time of the request.
+	LifeMs       uint32 `cbor:"6,keyasint,omitempty"`
+	RetryAfterMs uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // ClaimRequest asks the owner of a claim partition to claim a key.
