Carry published engine states to engines under a lease

Cause: loading models, adapters and versions needs one holder per region, a fencing number and one budget for the weight store. Change: the reducer runs the lease and orders packages; homes report engine states to the two candidates; the shell checks the holder's own deadline again right before it sends an order.

--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/lease"
 )
 
 const (
@@ -220,6 +221,16 @@
 	return claim.Lost
 }
 
+func leaseResult(err error) lease.Result {
+	switch {
+	case err == nil:
+		return lease.OK
+	case errors.Is(err, platform.ErrConflict):
+		return lease.Held
+	}
+	return lease.Failed
+}
+
 var claimStatus = map[claim.ReplyKind]wire.ClaimStatus{
 	claim.Granted:     wire.ClaimGranted,
 	claim.Recorded:    wire.ClaimRecorded,
--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -202,6 +202,7 @@
 	c.reassignHomes()
 	c.updatePoolTotals()
 	c.configureRates()
+	c.configureDuties()
 	c.emit(ConfigInForce{Version: manifest.Version, PublishID: manifest.PublishID})
 	// Peers learn of the version at once.
 	c.members.nextHeartbeat = 0
--- a/internal/core/duties.go
+++ b/internal/core/duties.go
@@ -1,14 +1,250 @@
 package core
 
-import "github.com/bilberrywell/bilberrywell/internal/wire"
+import (
+	"slices"
+	"strconv"
+	"time"
 
-type dutyState struct{}
+	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/lease"
+	"github.com/bilberrywell/bilberrywell/orders"
+)
 
-func (s *dutyState) init(*Core) {}
+const (
+	// dutyCandidates is the number of instances of a region that compete for its duty.
+	dutyCandidates = 2
+	// dutyTTL is the time to live of the duty's lease.
+	dutyTTL = 10 * time.Second
+	// dutyDrift bounds the error of two clocks over one TTL.
+	dutyDrift = 500 * time.Millisecond
+	// longestSend is the time limit of an order on the wire.
+	longestSend = time.Second
+	// planInterval is the time between plans.
+	planInterval = 500 * time.Millisecond
+	// stateAge is the age that a received engine state may have: a probe interval, the
+	// engine's own lag and the way.
+	stateAge = 3 * time.Second
+	// stateRepeat and stateRefresh are the times after which an engine's state is sent again,
+	// if it differs from the published one and if it doesn't.
+	stateRepeat  = 2 * time.Second
+	stateRefresh = 10 * time.Second
+)
 
-func (c *Core) leaseReply(LeaseReply)                 {}
-func (c *Core) orderReply(OrderReply)                 {}
-func (c *Core) engineStateReceived(*wire.EngineState) {}
-func (c *Core) reportEngineState(EngineReport)        {}
-func (c *Core) releaseDuties()                        {}
-func (c *Core) tickDuties()                           {}
+// dutyState is the state of the orders duty of the region.
+type dutyState struct {
+	holder   *lease.Holder
+	planner  *orders.Planner
+	reports  map[fleet.EngineID]orders.Report
+	sent     map[fleet.EngineID]sentState
+	nextPlan time.Duration
+}
+
+// sentState is the engine state that a home last sent to the duty's candidates.
+type sentState struct {
+	state       orders.State
+	incarnation uint64
+	at          time.Duration
+}
+
+func (s *dutyState) init(c *Core) {
+	s.reports = make(map[fleet.EngineID]orders.Report)
+	s.sent = make(map[fleet.EngineID]sentState)
+	s.holder = lease.New(lease.Config{
+		Name:        "duty/orders/" + string(c.cfg.Region),
+		Self:        string(c.cfg.Instance) + "/" + strconv.FormatUint(c.cfg.Incarnation, 36),
+		TTL:         dutyTTL,
+		Drift:       dutyDrift,
+		LongestSend: longestSend,
+		RetryMin:    200 * time.Millisecond,
+		RetryMax:    5 * time.Second,
+		CallTimeout: time.Second,
+	}, c.rng)
+}
+
+// configureDuties applies published limits. The region's part of the weight store's budget
+// follows its number of engines, since each region has a holder of its own.
+func (c *Core) configureDuties() {
+	all := len(c.engines)
+	if all == 0 {
+		return
+	}
+	share := float64(len(c.regionEngines())) / float64(all)
+	c.duties.planner = orders.New(orders.Config{
+		BudgetRate:  c.snapshot.Limits.WeightLoadsPerSecond * share,
+		BudgetBurst: 1,
+		MaxChanging: c.snapshot.Limits.MaxPoolChange,
+		ReportLag:   stateAge,
+		RetryMin:    5 * time.Second,
+		RetryMax:    time.Minute,
+	})
+}
+
+// managed reports whether a service's files declare a state that its engines should have.
+func managed(s *config.Service) bool {
+	return s.Kind == config.KindChat && (s.Version != "" || len(s.Adapters) > 0 || s.Role != "")
+}
+
+func desiredState(s *config.Service) orders.State {
+	return orders.State{Model: s.Model, Version: s.Version, Adapters: s.Adapters, Role: s.Role}
+}
+
+// wantsDuty reports whether this instance should compete for the duty.
+func (c *Core) wantsDuty() bool {
+	if c.drain.active || c.snapshot == nil || !c.regionManaged() {
+		return false
+	}
+	return slices.Contains(c.topInstances("orders", dutyCandidates), c.cfg.Instance)
+}
+
+func (c *Core) regionManaged() bool {
+	for _, engine := range c.engines {
+		if engine.Region == c.cfg.Region && managed(engine.service) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) tickDuties() {
+	if at, ok := c.duties.holder.Next(); ok && c.mono() >= at {
+		c.leaseEffects(c.duties.holder.Step(c.mono(), lease.Tick{}))
+	}
+	if c.mono() < c.duties.nextPlan {
+		return
+	}
+	c.duties.nextPlan = c.mono() + planInterval
+	c.leaseEffects(c.duties.holder.Step(c.mono(), lease.Want{Duty: c.wantsDuty()}))
+	c.planOrders()
+}
+
+// releaseDuties gives up the duty at the start of a drain.
+func (c *Core) releaseDuties() {
+	c.leaseEffects(c.duties.holder.Step(c.mono(), lease.Want{Duty: false}))
+}
+
+func (c *Core) leaseEffects(effects []lease.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case lease.Acquire:
+			o := c.ops.add(op{kind: opLease, call: e.Call})
+			c.emit(LeaseAcquire{Op: o, Name: e.Name, Holder: e.Holder, TTL: e.TTL})
+		case lease.Release:
+			o := c.ops.add(op{kind: opLeaseRelease, call: e.Call})
+			c.emit(LeaseRelease{Op: o, Name: e.Name, Holder: e.Holder, Fence: e.Fence})
+		case lease.Gained:
+			c.emit(Record{Kind: "duty_gained", Detail: strconv.FormatUint(e.Fence, 10)})
+		case lease.Lost:
+			c.emit(Record{Kind: "duty_lost", Detail: strconv.FormatUint(e.Fence, 10)})
+		}
+	}
+}
+
+// leaseReply feeds an answer of the lease service to the holder.
+func (c *Core) leaseReply(ev LeaseReply) {
+	o, ok := c.ops.take(ev.Op)
+	if !ok {
+		return
+	}
+	result := leaseResult(ev.Err)
+	if o.kind == opLeaseRelease {
+		c.leaseEffects(c.duties.holder.Step(c.mono(), lease.Released{Call: o.call, Result: result}))
+		return
+	}
+	c.leaseEffects(c.duties.holder.Step(c.mono(), lease.Acquired{
+		Call:   o.call,
+		Result: result,
+		Fence:  ev.Lease.Fence,
+		TTL:    ev.Lease.TTL,
+	}))
+}
+
+// planOrders sends the orders that are due while the duty is held.
+func (c *Core) planOrders() {
+	h := c.duties.holder
+	if c.duties.planner == nil || !h.Valid(c.mono()) {
+		return
+	}
+	duty := orders.Duty{Valid: true, Fence: h.Fence(), ActAfter: h.ActAfter()}
+	plan := c.duties.planner.Plan(c.mono(), duty, c.desiredEngines(), c.duties.reports)
+	for _, order := range plan.Orders {
+		engine := c.engines[order.Engine]
+		c.count(CounterOrdersSent, 1)
+		c.emit(Record{Kind: "order_sent", Engine: order.Engine, Detail: order.State.Model + " " + order.State.Version})
+		c.emit(SendOrder{
+			Target:   engine.target(),
+			Fence:    order.Fence,
+			Model:    order.State.Model,
+			Version:  order.State.Version,
+			Adapters: order.State.Adapters,
+			Role:     order.State.Role,
+			NotAfter: h.Deadline(),
+		})
+	}
+}
+
+// desiredEngines lists the region's engines whose services declare a state, in order.
+func (c *Core) desiredEngines() []orders.Desired {
+	var list []orders.Desired
+	for _, id := range c.regionEngines() {
+		engine := c.engines[id]
+		if !managed(engine.service) {
+			continue
+		}
+		list = append(list, orders.Desired{
+			Engine:      id,
+			Pool:        engine.service.ID,
+			Capacity:    engine.Capacity,
+			State:       desiredState(engine.service),
+			LoadCost:    1,
+			ChecksFence: engine.ChecksFencing,
+		})
+	}
+	return list
+}
+
+// reportEngineState tells the duty's candidates what state an engine of this home has.
+func (c *Core) reportEngineState(ev EngineReport) {
+	engine := c.engines[ev.Engine]
+	if engine == nil || !managed(engine.service) {
+		return
+	}
+	state := orders.State{Model: ev.Model, Version: ev.Version, Adapters: ev.Adapters, Role: ev.Role}
+	last := c.duties.sent[ev.Engine]
+	changed := last.at == 0 || last.incarnation != ev.Incarnation || !last.state.Equal(state)
+	wait := stateRefresh
+	if !state.Equal(desiredState(engine.service)) {
+		wait = stateRepeat
+	}
+	if !changed && c.mono()-last.at < wait {
+		return
+	}
+	c.duties.sent[ev.Engine] = sentState{state: state, incarnation: ev.Incarnation, at: c.mono()}
+	for _, id := range c.topInstances("orders", dutyCandidates) {
+		c.send(id, &wire.EngineState{
+			Engine:      ev.Engine,
+			Incarnation: ev.Incarnation,
+			Model:       ev.Model,
+			Version:     ev.Version,
+			Adapters:    ev.Adapters,
+			Role:        ev.Role,
+		})
+	}
+}
+
+func (c *Core) engineStateReceived(m *wire.EngineState) {
+	c.duties.reports[m.Engine] = orders.Report{
+		State: orders.State{Model: m.Model, Version: m.Version, Adapters: m.Adapters, Role: m.Role},
+		Ready: true,
+		At:    c.mono() - stateAge,
+	}
+}
+
+// orderReply notes an engine's answer. The report, not the answer, confirms a change.
+func (c *Core) orderReply(ev OrderReply) {
+	if ev.Stale {
+		c.count(CounterOrdersStale, 1)
+		c.emit(Record{Kind: "order_refused", Engine: ev.Engine, Detail: "stale fencing number " + strconv.FormatUint(ev.Fence, 10)})
+	}
+}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -102,13 +102,17 @@
 type LeaseAcquire struct {
 	Op   uint64
 	Name string
-	TTL  time.Duration
+	// Holder differs for each term of each process.
+	Holder string
+	TTL    time.Duration
 }
 
 // LeaseRelease gives up a lease.
 type LeaseRelease struct {
-	Name  string
-	Fence uint64
+	Op     uint64
+	Name   string
+	Holder string
+	Fence  uint64
 }
 
 // ListInstances reads the platform's list.
@@ -131,6 +135,9 @@
 	Version  string
 	Adapters []string
 	Role     string
+	// NotAfter is the monotonic time of the holder's own deadline. The shell checks it right
+	// before it sends: the process may have been paused since the decision.
+	NotAfter time.Duration
 }
 
 // MoveChat exports a chat's KV cache from one engine and imports it into another.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -101,7 +101,7 @@
 	Err   error
 }
 
-// LeaseReply answers LeaseAcquire.
+// LeaseReply answers LeaseAcquire and LeaseRelease.
 type LeaseReply struct {
 	Op    uint64
 	Lease platform.Lease
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -11,6 +11,8 @@
 	opBlob
 	opClaimRead
 	opClaimSwap
+	opLease
+	opLeaseRelease
 )
 
 // op is a call to the key-value service that waits for its answer.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -32,6 +32,9 @@
 // errStaleFence reports an order that an engine refused for its fencing number.
 var errStaleFence = errors.New("daemon: the engine refused the fencing number")
 
+// errLeaseOver reports an order that was not sent because its holder's lease had ended.
+var errLeaseOver = errors.New("daemon: the lease ended before the order was sent")
+
 // engineClient speaks the control interface of engines: load, cache events, orders and KV cache.
 type engineClient struct {
 	http *http.Client
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -157,11 +156,6 @@
 	return nil
 }
 
-// holderName names this process in the platform's leases. A restart is another holder.
-func (d *Daemon) holderName() string {
-	return string(d.settings.Instance) + "/" + strconv.FormatUint(d.incarnation, 36)
-}
-
 // Run serves until ctx ends, then drains: the instance turns not ready, waits for the
 // balancer, hands over its homes and duties, and lets requests in flight end up to the
 // drain deadline.
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -68,14 +68,13 @@
 		})
 	case core.LeaseAcquire:
 		d.async(storeTimeout, func(ctx context.Context) core.Event {
-			lease, err := d.store.Acquire(ctx, e.Name, d.holderName(), e.TTL)
+			lease, err := d.store.Acquire(ctx, e.Name, e.Holder, e.TTL)
 			return core.LeaseReply{Op: e.Op, Lease: lease, Err: storeErr(err)}
 		})
 	case core.LeaseRelease:
 		d.async(storeTimeout, func(ctx context.Context) core.Event {
-			// A lease that can't be given up lapses by itself.
-			_ = d.store.Release(ctx, e.Name, d.holderName(), e.Fence)
-			return nil
+			err := d.store.Release(ctx, e.Name, e.Holder, e.Fence)
+			return core.LeaseReply{Op: e.Op, Err: storeErr(err)}
 		})
 	case core.ListInstances:
 		d.async(storeTimeout, func(ctx context.Context) core.Event {
@@ -100,6 +99,9 @@
 		})
 	case core.SendOrder:
 		d.async(controlTimeout, func(ctx context.Context) core.Event {
+			if d.loop.now().Mono >= e.NotAfter {
+				return core.OrderReply{Engine: e.Target.Engine, Fence: e.Fence, Err: errLeaseOver}
+			}
 			err := d.engines.order(ctx, e)
 			stale := errors.Is(err, errStaleFence)
 			return core.OrderReply{Engine: e.Target.Engine, Fence: e.Fence, Stale: stale, Err: err}
--- a/internal/harness/store.go
+++ b/internal/harness/store.go
@@ -185,7 +185,7 @@
 		n.reply(s.h.Config.StoreLatency, core.LeaseReply{Op: e.Op, Err: platform.ErrUnavailable})
 		return
 	}
-	holder := string(n.ID) + "/" + time.Duration(n.incarnation).String()
+	holder := e.Holder
 	held := s.leases[e.Name]
 	if held == nil {
 		held = &heldLease{}
@@ -206,9 +206,24 @@
 	}})
 }
 
-func (s *Store) release(_ *Node, e core.LeaseRelease) {
+func (s *Store) release(n *Node, e core.LeaseRelease) {
 	s.Calls["lease"]++
-	if held := s.leases[e.Name]; held != nil && held.fence == e.Fence && !s.Down {
+	reply := core.LeaseReply{Op: e.Op}
+	held := s.leases[e.Name]
+	switch {
+	case s.Down:
+		reply.Err = platform.ErrUnavailable
+	case held == nil || held.fence != e.Fence || held.holder != e.Holder:
+		reply.Err = platform.ErrConflict
+	default:
+		held.until = s.h.now
+	}
+	n.reply(s.delay(), reply)
+}
+
+// LapseLeases ends every lease at once without telling its holder.
+func (s *Store) LapseLeases() {
+	for _, held := range s.leases {
 		held.until = s.h.now
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -295,3 +295,7 @@
 func (h *Holder) jitter(d time.Duration) time.Duration {
 	return d - time.Duration(h.rng.Int64N(int64(d/5)+1))
 }
+
+// Deadline returns the time at which the duty ends unless it is renewed, for checks right
+// before an effect leaves. It is meaningful while Valid.
+func (h *Holder) Deadline() time.Duration { return h.deadline }
