ctl: merge timelines, hand a publish to three instances, compare versions

Cause: timeline printed raw JSON by instance and had no page. A publish was handed to one instance; when that one died while the platform was down, the publish was lost (found by the fault matrix). status did not say whether the instances agree, and -wait was bounded by the whole command's time only.

Change: timeline merges and filters with package timeline and writes text, JSON or a page; new flag -instance. The accepted bundle goes to three live instances, spread over data centres, and on to others when one refuses or does not answer; the list from before the publish stands in when it cannot be read afterwards. status prints whether all live instances have the same version. -wait-timeout (30 s) bounds -wait. stop says what to do with its stanza. JSON: handed_to is a list now.

Conclusion: the test instance that lags now refuses bundles, since every live instance of a fleet of three would take one otherwise; the check is as strict as before.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -102,14 +102,14 @@
 	platformURL, secretFile, output string
 	timeout                         time.Duration
 
-	wait, published             bool
-	publisher, at, target       string
-	length                      time.Duration
-	base                        uint64
-	request, chat, engine, kind string
-	html                        string
-	store                       platform.Store
-	directory                   platform.Directory
+	wait, published       bool
+	publisher, at, target string
+	length                time.Duration
+	base                  uint64
+	waitTimeout           time.Duration
+	events                timelineFlags
+	store                 platform.Store
+	directory             platform.Directory
 }
 
 // usageError is a wrong command line.
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -25,8 +25,8 @@
 			detail: `Replaces all published files below each directory's base name by the directory's files;
 files of other directories stay. The result is checked as a whole before it is written.
 A publish that raced with others is merged; files that both changed are a conflict.
-After acceptance the bundle is handed to one instance, so that it spreads even while the
-key-value service is down.`,
+After acceptance the bundle is handed to three instances, in different data centres where
+possible, so that it spreads even while the key-value service is down and one of them dies.`,
 			flags: func(c *call, fs *flag.FlagSet) {
 				c.publishFlags(fs)
 				fs.Uint64Var(&c.base, "base", 0, "`version` that the files were edited from: files that were published since by others and differ are a conflict")
@@ -45,20 +45,17 @@
 		},
 		{
 			name: "status", summary: "show every instance's state",
-			detail: "Asks every instance in the platform's list. Exits with 1 if a live one cannot be reached.",
-			run:    (*call).status,
+			detail: `Asks every instance in the platform's list, and says whether all live ones have the same
+version. Exits with 1 if a live one cannot be reached.`,
+			run: (*call).status,
 		},
 		{
 			name: "timeline", summary: "print events of all instances",
-			detail: "Prints events as JSON, one a line. The flags select events whose field has the value.",
-			flags: func(c *call, fs *flag.FlagSet) {
-				fs.StringVar(&c.request, "request", "", "only events of this request")
-				fs.StringVar(&c.chat, "chat", "", "only events of this chat")
-				fs.StringVar(&c.engine, "engine", "", "only events of this engine")
-				fs.StringVar(&c.kind, "kind", "", "only events of this kind")
-				fs.StringVar(&c.html, "html", "", "write a page to this `file`")
-			},
-			run: (*call).timeline,
+			detail: `Reads the events of every instance in the platform's list, merges them into one order
+that respects cause and effect, and prints those that pass all given flags, one a line, or
+as one JSON array with -output json. Exits with 1 if the events of an instance are missing.`,
+			flags: func(c *call, fs *flag.FlagSet) { c.events.register(fs) },
+			run:   (*call).timeline,
 		},
 		{
 			name: "drain", args: "INSTANCE", summary: "stop an instance without cutting off requests", least: 1, most: 1,
@@ -67,9 +64,9 @@
 		},
 		{
 			name: "stop", args: "ENGINE|INSTANCE", summary: "print the stanza of a planned stop", least: 1, most: 1,
-			detail: `Prints the YAML stanza of a planned stop to add to a file in your tree and publish. It
-publishes nothing itself, because the next publish of your tree would remove a stop that
-the tree lacks. The name is looked up among the published engines, then among the
+			detail: `Prints the YAML stanza of a planned stop, and on standard error what to do with it: add it
+to a file in your tree, check and publish. The command publishes nothing itself, because
+the next publish of your tree would remove a stop that the tree lacks. The name is looked up among the published engines, then among the
 platform's instances; -target skips the lookup.`,
 			flags: func(c *call, fs *flag.FlagSet) {
 				fs.StringVar(&c.at, "at", "", "start as `time` 2027-01-10T02:00:00+09:00 (default: the next full minute)")
@@ -89,6 +86,7 @@
 
 func (c *call) publishFlags(fs *flag.FlagSet) {
 	fs.BoolVar(&c.wait, "wait", false, "wait until the version is in force on every live instance")
+	fs.DurationVar(&c.waitTimeout, "wait-timeout", defaultWait, "longest time that -wait waits; raise -timeout too if it is longer")
 	fs.StringVar(&c.publisher, "as", c.Getenv("USER"), "`name` of the publisher (default $USER)")
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -79,8 +81,20 @@
 
 func (m *memory) Instances(context.Context) ([]platform.Instance, error) { return m.list, nil }
 
+// timelines holds each instance's events. The clock of entry-2 is behind, so only the cause
+// puts its event after that of entry-1.
+var timelines = map[string]string{
+	"entry-1": `[{"instance":"entry-1","incarnation":"7","sequence":1,"hlc":"131072000","kind":"attempt_started","request":"entry-1-1","chat":"255","engine":"e1"},
+		{"instance":"entry-1","incarnation":"7","sequence":2,"hlc":"262144000","kind":"request_ended","request":"entry-1-1","chat":"255","engine":"e1","detail":{"detail":"complete"}}]`,
+	"entry-2": `[{"instance":"entry-2","incarnation":"8","sequence":1,"hlc":"65536000","kind":"home_taken","engine":"e1","from_a_newer_daemon":1,
+		"cause":{"instance":"entry-1","incarnation":"7","sequence":1}}]`,
+}
+
+// deaf is the data centre of instances that refuse bundles.
+const deaf = "otaru"
+
 // instance is a daemon's admin listener.
-func instance(t *testing.T, m *memory, id string) {
+func instance(t *testing.T, m *memory, id string, dc fleet.DataCentre) {
 	adopter := revision.NewAdopter(func(files map[string][]byte) error {
 		_, findings := config.Compile(files)
 		return findings.Err()
@@ -88,17 +102,21 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+adminapi.PathStatus, func(w http.ResponseWriter, r *http.Request) {
 		require.Equal(t, "Bearer fleet-secret", r.Header.Get("Authorization"))
-		_ = json.NewEncoder(w).Encode(adminapi.Status{Instance: fleet.InstanceID(id), DataCentre: "sapporo", Ready: true,
+		_ = json.NewEncoder(w).Encode(adminapi.Status{Instance: fleet.InstanceID(id), DataCentre: dc, Ready: true,
 			Version: adopter.Current().Version, Engines: []adminapi.Engine{{ID: "e1", Home: "entry-1", InFlight: 3, Bound: 9}}})
 	})
 	mux.HandleFunc("GET "+adminapi.PathTimeline, func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(w, `[{"kind":"grant","engine":"e1","at":%q},{"kind":"end","engine":"e2"}]`, id)
+		_, _ = fmt.Fprint(w, cmp.Or(timelines[id], "[]"))
 	})
 	mux.HandleFunc("POST "+adminapi.PathConfig, func(w http.ResponseWriter, r *http.Request) {
 		var request adminapi.ConfigRequest
 		require.NoError(t, json.NewDecoder(r.Body).Decode(&request))
 		manifest, err := revision.Decode(request.Manifest)
 		require.NoError(t, err)
+		if dc == deaf {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		result := adopter.Offer(manifest)
 		for _, content := range request.Files {
 			adopter.Add(content)
@@ -108,7 +126,7 @@
 	mux.HandleFunc("POST "+adminapi.PathDrain, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) })
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	m.list = append(m.list, platform.Instance{ID: fleet.InstanceID(id), AdminAddr: strings.TrimPrefix(server.URL, "http://")})
+	m.list = append(m.list, platform.Instance{ID: fleet.InstanceID(id), AdminAddr: strings.TrimPrefix(server.URL, "http://"), DataCentre: dc})
 }
 
 // session runs commands in a directory of files.
@@ -119,6 +137,8 @@
 	log   strings.Builder
 	// pauses is the number of pauses after which a command's context ends.
 	pauses int
+	// out is the standard output of the last command.
+	out string
 }
 
 func newSession(t *testing.T) *session {
@@ -135,22 +155,25 @@
 }
 
 func (s *session) run(line string) int {
-	var out bytes.Buffer
+	var out, stdout bytes.Buffer
 	env := map[string]string{"BILBERRY_PLATFORM": "http://127.0.0.1:1", "BILBERRY_SECRET_FILE": s.root + "/secret", "USER": "aya"}
-	app := ctl.New(&out, &out)
+	app := ctl.New(io.MultiWriter(&out, &stdout), &out)
 	app.Getenv = func(name string) string { return env[name] }
-	app.Now = func() time.Time { return time.Date(2027, 1, 10, 2, 0, 30, 0, time.UTC) }
+	now := time.Date(2027, 1, 10, 2, 0, 30, 0, time.UTC)
+	app.Now = func() time.Time { return now }
 	app.Random = bytes.NewReader(bytes.Repeat([]byte{byte(s.store.calls)}, 64))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	paused := 0
-	app.Sleep = func(context.Context, time.Duration) {
+	app.Sleep = func(_ context.Context, d time.Duration) {
+		now = now.Add(d)
 		if paused++; paused == s.pauses {
 			cancel()
 		}
 	}
 	app.Connect = func(string) (platform.Store, platform.Directory) { return s.store, s.store }
 	code := app.Run(ctx, strings.Fields(strings.ReplaceAll(line, "@", s.root+"/")))
+	s.out = stdout.String()
 	fmt.Fprintf(&s.log, "$ bilberryctl %s\n%sexit %d\n\n", line, strings.ReplaceAll(out.String(), s.root, ""), code)
 	return code
 }
@@ -158,7 +181,7 @@
 // Guards against a changed meaning, output or exit code of any command in an operator's day.
 func TestSessionGolden(t *testing.T) {
 	s := newSession(t)
-	instance(t, s.store, "entry-1")
+	instance(t, s.store, "entry-1", "sapporo")
 	for _, line := range []string{"check @chat @desk", "check @desk", "publish @desk", "publish @chat @desk -wait", "publish @chat -as ben"} {
 		s.run(line)
 	}
@@ -170,13 +193,23 @@
 	s.write("chat/a.yaml", "services: {}\n")
 	s.write("desk/c.yaml", "customers:\n  desk: {rate: 8, services: [chat]}\n")
 	for _, line := range []string{"publish @chat", "publish -base 1 @desk", "rollback 1 -wait -as ben", "rollback 9", "rollback x", "diff @desk -output json",
-		"status", "timeline -engine e1", "timeline -html x", "drain entry-1", "drain entry-2", "stop e1 -for 30m",
+		"status", "timeline -engine e1", "drain entry-1", "drain entry-2", "stop e1 -for 30m",
 		"stop entry-1 -at 2027-01-10T02:00:00+09:00 -for 1h -output json", "stop e1", "stop nothing -for 1s", "keygen",
 		"version extra", "check @none -output json", "frobnicate", "status -colour"} {
 		s.run(line)
 	}
+	instance(t, s.store, "entry-2", "asahikawa")
+	for _, line := range []string{"status", "timeline", "timeline -engine e1 -instance entry-2", "timeline -chat 00000000000000ff -kind request_ended -output json",
+		"timeline -chat 255 -request entry-1-1", "timeline -chat ff", "timeline -instance entry-3 -output json", "timeline -html @page.html",
+		"timeline -html @none/page.html", "publish @desk -wait-timeout 0s -wait"} {
+		s.run(line)
+	}
+	page, err := os.ReadFile(filepath.Join(s.root, "page.html"))
+	require.NoError(t, err)
+	require.Contains(t, string(page), "home_taken")
 	s.store.list = append(s.store.list, platform.Instance{ID: "entry-9", AdminAddr: "127.0.0.1:none"})
 	require.Equal(t, ctl.ExitFailed, s.run("status -output json"))
+	require.Equal(t, ctl.ExitFailed, s.run("timeline -kind home_taken"))
 	golden := "testdata/session.golden"
 	if *update {
 		require.NoError(t, os.MkdirAll("testdata", 0o755))
@@ -212,20 +245,64 @@
 // Guards against a wait that ends before the last instance has the version.
 func TestWaitReportsLaggingInstances(t *testing.T) {
 	s := newSession(t)
-	instance(t, s.store, "entry-1")
-	instance(t, s.store, "entry-2")
+	instance(t, s.store, "entry-1", "sapporo")
+	instance(t, s.store, "entry-2", deaf)
 	s.pauses = 3
 	require.Equal(t, ctl.ExitNotInForce, s.run("publish @chat -wait"))
 	require.Contains(t, s.log.String(), "version 1 is accepted but not in force on entry-2")
 }
 
-// Guards against a command without help text.
+// Guards against a wait that goes on after its own limit.
+func TestWaitEndsAtItsTimeout(t *testing.T) {
+	s := newSession(t)
+	instance(t, s.store, "entry-1", deaf)
+	require.Equal(t, ctl.ExitNotInForce, s.run("publish @chat -wait -wait-timeout 2s"))
+	require.Contains(t, s.log.String(), "version 1 is accepted but not in force on entry-1")
+}
+
+// Guards against a publish whose copies are in one data centre, are fewer than three because
+// an instance does not answer, or go to a leaving instance.
+func TestHandOverSpreads(t *testing.T) {
+	s := newSession(t)
+	for _, i := range []struct {
+		id string
+		dc fleet.DataCentre
+	}{{"a", "sapporo"}, {"b", "sapporo"}, {"c", "sapporo"}, {"d", deaf}, {"e", "asahikawa"}} {
+		instance(t, s.store, i.id, i.dc)
+	}
+	s.store.list = append(s.store.list, platform.Instance{ID: "f", DataCentre: "abashiri", Leaving: true, AdminAddr: "127.0.0.1:none"})
+	require.Equal(t, ctl.ExitOK, s.run("publish @chat"))
+	require.Contains(t, s.out, "handed to a, e, b\n")
+	require.Contains(t, s.log.String(), "bilberryctl: d: ")
+}
+
+// Guards against a fleet of two versions that status calls uniform.
+func TestStatusComparesVersions(t *testing.T) {
+	s := newSession(t)
+	instance(t, s.store, "entry-1", "sapporo")
+	instance(t, s.store, "entry-2", deaf)
+	s.run("publish @chat")
+	require.Equal(t, ctl.ExitOK, s.run("status"))
+	require.Contains(t, s.out, "live instances DIFFER: version 1 on 1 (entry-1), version 0 on 1 (entry-2)")
+	s.run("status -output json")
+	require.Contains(t, s.out, `"same_version": false`)
+}
+
+// Guards against a command without help text, exit codes or JSON output.
 func TestHelp(t *testing.T) {
 	s := newSession(t)
+	instance(t, s.store, "entry-1", "sapporo")
 	s.run("help")
-	for _, name := range []string{"check", "publish", "diff", "rollback", "status", "timeline", "drain", "stop", "keygen", "version"} {
+	require.Contains(t, s.out, "Exit codes:")
+	for name, args := range map[string]string{"check": "@chat", "publish": "@chat", "diff": "@chat", "rollback": "1", "status": "", "timeline": "",
+		"drain": "entry-1", "stop": "entry-1 -for 1m", "keygen": "", "version": ""} {
 		require.Contains(t, s.log.String(), "\n  "+name)
 		require.Equal(t, ctl.ExitOK, s.run("help "+name))
+		require.Contains(t, s.out, "Exit codes:")
+		require.Contains(t, s.out, "-output")
 		require.Equal(t, ctl.ExitOK, s.run(name+" -h"))
+		s.run("publish @chat")
+		require.Equal(t, ctl.ExitOK, s.run(name+" "+args+" -output json"))
+		require.True(t, json.Valid([]byte(s.out)), s.out)
 	}
 }
--- a/internal/ctl/instances.go
+++ b/internal/ctl/instances.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -15,7 +16,6 @@
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/adminapi"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
-	"github.com/bilberrywell/bilberrywell/revision"
 )
 
 const (
@@ -23,8 +23,6 @@
 	parallelCalls = 32
 	// instanceTimeout bounds one admin call, so that a silent instance does not hold up the rest.
 	instanceTimeout = 2 * time.Second
-	// pollInterval is the pause between rounds of -wait.
-	pollInterval = 250 * time.Millisecond
 )
 
 // instances returns the platform's list sorted by ID.
@@ -50,95 +48,6 @@
 	})
 }
 
-// handOver gives an accepted bundle to the first instance that takes it. A failure is only a
-// warning, because watchers learn of the version from the platform.
-func (d *driver) handOver(ctx context.Context, m revision.Manifest) string {
-	client, err := d.admin()
-	if err != nil {
-		d.warn("the bundle was not handed to an instance: %v", err)
-		return ""
-	}
-	list, err := d.instances(ctx)
-	if err == nil {
-		err = d.fetch(ctx, m)
-	}
-	if err != nil {
-		d.warn("the bundle was not handed to an instance: %v", err)
-		return ""
-	}
-	request := adminapi.ConfigRequest{Manifest: m.Encode(), Files: map[string][]byte{}}
-	for _, digest := range m.Files {
-		request.Files[digest] = d.blobs[digest]
-	}
-	for _, i := range list {
-		if !i.Leaving && d.offer(ctx, client, i, request, m.Version) {
-			return string(i.ID)
-		}
-	}
-	d.warn("no instance took the bundle; the fleet learns of it from the platform")
-	return ""
-}
-
-func (d *driver) offer(ctx context.Context, client *adminapi.Client, i platform.Instance, request adminapi.ConfigRequest, version uint64) bool {
-	bounded, cancel := context.WithTimeout(ctx, instanceTimeout)
-	defer cancel()
-	answer, err := client.Config(bounded, i.AdminAddr, request)
-	if err != nil {
-		d.warn("%s: %v", i.ID, err)
-		return false
-	}
-	if answer.Version < version {
-		d.warn("%s: %s %s", i.ID, answer.Outcome, answer.Error)
-	}
-	return answer.Version >= version
-}
-
-// waitInForce polls until every live instance has the version or ctx ends. It returns the
-// number of instances that have it and those that lack it. The list is read in each round,
-// because instances join and leave meanwhile.
-func (c *call) waitInForce(ctx context.Context, version uint64) (int, []string, error) {
-	client, err := c.admin()
-	if err != nil {
-		return 0, nil, err
-	}
-	reached := map[fleet.InstanceID]bool{}
-	lagging := []string{"any instance: the list of instances cannot be read"}
-	for {
-		if list, err := c.instances(ctx); err == nil {
-			if lagging = lag(ctx, client, list, version, reached); len(lagging) == 0 {
-				return len(reached), nil, nil
-			}
-		}
-		if ctx.Err() != nil {
-			return len(reached), lagging, nil
-		}
-		c.Sleep(ctx, pollInterval)
-	}
-}
-
-// lag returns the live instances below the version and records those that have it.
-func lag(ctx context.Context, client *adminapi.Client, list []platform.Instance, version uint64, reached map[fleet.InstanceID]bool) []string {
-	var open []platform.Instance
-	for _, i := range list {
-		if !i.Leaving && !reached[i.ID] {
-			open = append(open, i)
-		}
-	}
-	inForce := each(ctx, open, func(ctx context.Context, i platform.Instance) bool {
-		status, err := client.Status(ctx, i.AdminAddr)
-		return err == nil && status.Version >= version
-	})
-	var lagging []string
-	for n, ok := range inForce {
-		if ok {
-			reached[open[n].ID] = true
-		} else {
-			lagging = append(lagging, string(open[n].ID))
-		}
-	}
-	return lagging
-}
-
 type instanceOutput struct {
 	ID      fleet.InstanceID `json:"id"`
 	Leaving bool             `json:"leaving"`
@@ -153,6 +62,10 @@
 	PublishID string           `json:"publish_id"`
 	Publisher string           `json:"publisher"`
 	Instances []instanceOutput `json:"instances"`
+	// SameVersion tells that every live instance answered and all have one version.
+	SameVersion bool `json:"same_version"`
+	// Versions lists the live instances that answered by their version.
+	Versions map[uint64][]fleet.InstanceID `json:"versions"`
 }
 
 func (c *call) status(ctx context.Context, _ []string) error {
@@ -176,12 +89,63 @@
 		}
 		return instanceOutput{ID: i.ID, Leaving: i.Leaving, Status: &status}
 	})
+	out.compareVersions()
 	if err := c.print(out, out.text()); err != nil {
 		return err
 	}
 	return out.unreachable()
 }
 
+// compareVersions fills in SameVersion and Versions.
+func (o *statusOutput) compareVersions() {
+	o.Versions = map[uint64][]fleet.InstanceID{}
+	answered := true
+	for _, i := range o.Instances {
+		switch {
+		case i.Leaving:
+		case i.Status == nil:
+			answered = false
+		default:
+			o.Versions[i.Status.Version] = append(o.Versions[i.Status.Version], i.ID)
+		}
+	}
+	o.SameVersion = answered && len(o.Versions) == 1
+}
+
+// versionText says whether all live instances have the same version.
+func (o statusOutput) versionText() string {
+	var parts []string
+	for _, version := range slices.Backward(slices.Sorted(maps.Keys(o.Versions))) {
+		ids := o.Versions[version]
+		parts = append(parts, fmt.Sprintf("version %d on %d (%s)", version, len(ids), names(ids)))
+	}
+	switch {
+	case o.SameVersion:
+		for version, ids := range o.Versions {
+			return fmt.Sprintf("all %d live instances have version %d", len(ids), version)
+		}
+	case len(parts) == 0:
+		return "no live instance answered"
+	case len(parts) == 1:
+		return "the live instances that answered have the same version: " + parts[0]
+	}
+	return "live instances DIFFER: " + strings.Join(parts, ", ")
+}
+
+// maxNames bounds the instances that a line names.
+const maxNames = 5
+
+func names(ids []fleet.InstanceID) string {
+	var list []string
+	for _, id := range ids[:min(maxNames, len(ids))] {
+		list = append(list, string(id))
+	}
+	if len(ids) > maxNames {
+		list = append(list, "...")
+	}
+	return strings.Join(list, ", ")
+}
+
 // unreachable reports live instances without an answer. With JSON output the result already
 // names them, so the error goes to standard error only.
 func (o statusOutput) unreachable() error {
@@ -199,7 +163,7 @@
 
 func (o statusOutput) text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "published: version %d by %s, publish id %s\n\n", o.Version, o.Publisher, o.PublishID)
+	fmt.Fprintf(&b, "published: version %d by %s, publish id %s\n%s\n\n", o.Version, o.Publisher, o.PublishID, o.versionText())
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "INSTANCE\tDATA CENTRE\tVERSION\tSTATE\tPEERS\tCONTROL B/S")
 	for _, i := range o.Instances {
--- a/internal/ctl/local.go
+++ b/internal/ctl/local.go
@@ -64,9 +64,20 @@
 		return usageError("-target must be engine or instance")
 	}
 	text := fmt.Sprintf("stops:\n  - {%s: %s, at: %q, for: %s}", target, args[0], at.Format(time.RFC3339), c.length)
-	return c.print(map[string]string{target: args[0], "at": at.Format(time.RFC3339), "for": c.length.String(), "stanza": text}, text)
+	out := map[string]string{target: args[0], "at": at.Format(time.RFC3339), "for": c.length.String(), "stanza": text, "next": stopNext}
+	if err := c.print(out, text); err != nil {
+		return err
+	}
+	if c.output == "text" {
+		c.warn("%s", stopNext)
+	}
+	return nil
 }
 
+// stopNext tells what to do with a printed stanza.
+const stopNext = "nothing is published yet: add the entry to the list \"stops\" of a file in your tree, " +
+	"run \"bilberryctl check DIR...\", then \"bilberryctl publish -wait DIR...\" before the stop begins"
+
 func (c *call) stopTime() (time.Time, error) {
 	if c.at == "" {
 		return c.Now().Truncate(time.Minute).Add(time.Minute), nil
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/revision"
 )
@@ -171,8 +172,8 @@
 	PublishID string              `json:"publish_id"`
 	Unchanged bool                `json:"unchanged"`
 	Diff      revision.Difference `json:"diff"`
-	// HandedTo is the instance that took the bundle, or empty.
-	HandedTo string `json:"handed_to"`
+	// HandedTo lists the instances that took the bundle.
+	HandedTo []fleet.InstanceID `json:"handed_to"`
 	// InForce is the number of live instances that have the version. It is set with -wait.
 	InForce int `json:"in_force"`
 	// Lagging lists live instances that lacked the version when -wait ended.
@@ -184,6 +185,9 @@
 	if d.publisher == "" {
 		return usageError("set -as to the publisher's name")
 	}
+	if d.wait && d.waitTimeout <= 0 {
+		return usageError("-wait-timeout must be above zero")
+	}
 	if d.wait {
 		// A missing secret must show before anything is published.
 		if _, err := d.admin(); err != nil {
@@ -196,6 +200,8 @@
 	}
 	request.PublishID, request.Publisher = id, d.publisher
 	request.PublishedUnixMilli = d.Now().UnixMilli()
+	// A failure to read the list shows at the hand-over.
+	list, _ := d.instances(ctx)
 	effect, err := d.run(ctx, request)
 	if err != nil {
 		return err
@@ -204,7 +210,7 @@
 	if !effect.Unchanged {
 		out.Diff = revision.Diff(d.before, effect.Manifest)
 	}
-	out.HandedTo = d.handOver(ctx, effect.Manifest)
+	out.HandedTo = d.handOver(ctx, effect.Manifest, list)
 	if d.wait {
 		out.InForce, out.Lagging, err = d.waitInForce(ctx, effect.Manifest.Version)
 	}
@@ -227,8 +233,8 @@
 	} else {
 		lines = append(lines, fmt.Sprintf("accepted as version %d, publish id %s", o.Version, o.PublishID))
 	}
-	if o.HandedTo != "" {
-		lines = append(lines, "handed to "+o.HandedTo)
+	if len(o.HandedTo) > 0 {
+		lines = append(lines, "handed to "+names(o.HandedTo))
 	}
 	if waited {
 		lines = append(lines, fmt.Sprintf("in force on %d instances", o.InForce))
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -1,52 +1,90 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
+	"os"
+	"strconv"
 	"strings"
 
 	"github.com/samber/oops"
 
+	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/adminapi"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/timeline"
 )
 
-// This file is the only one that handles timeline events. It treats them as raw JSON and
-// prints them by instance; package timeline will merge them and write the page.
+// chatHexDigits is the length of a chat key in the text output.
+const chatHexDigits = 16
 
+// timelineFlags are the flags of the command timeline.
+type timelineFlags struct{ request, chat, engine, kind, instance, html string }
+
+func (f *timelineFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.request, "request", "", "only events of this `request`, such as entry-1-17")
+	fs.StringVar(&f.chat, "chat", "", "only events of this chat `key`: 16 hex digits as in the text output, or decimal")
+	fs.StringVar(&f.engine, "engine", "", "only events of this `engine`")
+	fs.StringVar(&f.kind, "kind", "", "only events of this `kind`, such as attempt_started")
+	fs.StringVar(&f.instance, "instance", "", "only events of this `instance`")
+	fs.StringVar(&f.html, "html", "", "write a page to this `file` instead of printing the events")
+}
+
+// filter returns the filter that the flags describe.
+func (f *timelineFlags) filter() (timeline.Filter, error) {
+	filter := timeline.Filter{
+		Request:  f.request,
+		Engine:   fleet.EngineID(f.engine),
+		Kind:     timeline.Kind(f.kind),
+		Instance: fleet.InstanceID(f.instance),
+	}
+	if f.chat == "" {
+		return filter, nil
+	}
+	base := 10
+	if len(f.chat) == chatHexDigits {
+		base = 16
+	}
+	chat, err := strconv.ParseUint(f.chat, base, 64)
+	if err != nil || chat == 0 {
+		return filter, usageError("-chat must be 16 hex digits or a decimal number above zero")
+	}
+	filter.Chat = fleet.ChatKey(chat)
+	return filter, nil
+}
+
+// timelineAnswer is the answer of one instance.
 type timelineAnswer struct {
-	instance platform.Instance
-	events   adminapi.Events
+	instance fleet.InstanceID
+	events   []timeline.Event
 	err      error
 }
 
 func (c *call) timeline(ctx context.Context, _ []string) error {
-	if c.html != "" {
-		return usageError("-html is not available in this version")
-	}
-	client, err := c.admin()
+	filter, err := c.events.filter()
 	if err != nil {
 		return err
 	}
-	list, err := c.instances(ctx)
+	answers, err := c.readTimelines(ctx)
 	if err != nil {
 		return err
 	}
-	answers := each(ctx, list, func(ctx context.Context, i platform.Instance) timelineAnswer {
-		events, err := client.Timeline(ctx, i.AdminAddr, 0)
-		return timelineAnswer{i, events, err}
-	})
-	selected, missing := adminapi.Events{}, []string{}
+	var lists [][]timeline.Event
+	var missing []string
 	for _, a := range answers {
 		if a.err != nil {
-			missing = append(missing, string(a.instance.ID))
-			c.warn("%s: %v", a.instance.ID, a.err)
+			missing = append(missing, string(a.instance))
+			c.warn("%s: %v", a.instance, a.err)
 			continue
 		}
-		selected = append(selected, c.selectEvents(a.events)...)
+		lists = append(lists, a.events)
 	}
-	if err := c.print(selected, lines(selected)); err != nil {
+	// Events are merged before they are selected, because causes can lie outside the selection.
+	selected := filter.Select(timeline.Merge(lists))
+	if err := c.showEvents(selected, len(lists)); err != nil {
 		return err
 	}
 	if len(missing) > 0 {
@@ -55,32 +93,70 @@
 	return nil
 }
 
-// selectEvents returns the events whose fields have the values of the flags.
-func (c *call) selectEvents(events adminapi.Events) adminapi.Events {
-	var selected adminapi.Events
-	for _, event := range events {
-		var fields map[string]any
-		if json.Unmarshal(event, &fields) == nil && c.selects(fields) {
-			selected = append(selected, event)
+// readTimelines asks every listed instance, the leaving ones too, for its events.
+func (c *call) readTimelines(ctx context.Context) ([]timelineAnswer, error) {
+	client, err := c.admin()
+	if err != nil {
+		return nil, err
+	}
+	list, err := c.instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return each(ctx, list, func(ctx context.Context, i platform.Instance) timelineAnswer {
+		raw, err := client.Timeline(ctx, i.AdminAddr, 0)
+		if err != nil {
+			return timelineAnswer{i.ID, nil, err}
+		}
+		events, err := decodeEvents(raw)
+		return timelineAnswer{i.ID, events, err}
+	}), nil
+}
+
+// decodeEvents ignores fields that it doesn't know, which newer daemons may send.
+func decodeEvents(raw adminapi.Events) ([]timeline.Event, error) {
+	events := make([]timeline.Event, len(raw))
+	for i, r := range raw {
+		if err := json.Unmarshal(r, &events[i]); err != nil {
+			return nil, oops.In("ctl").Wrapf(err, "event %d is not valid", i)
 		}
 	}
-	return selected
+	return events, nil
 }
 
-func (c *call) selects(fields map[string]any) bool {
-	for name, want := range map[string]string{"request": c.request, "chat": c.chat, "engine": c.engine, "kind": c.kind} {
-		if want != "" && fmt.Sprint(fields[name]) != want {
-			return false
+// pageOutput tells what a page shows.
+type pageOutput struct {
+	File      string `json:"file"`
+	Events    int    `json:"events"`
+	Instances int    `json:"instances"`
+}
+
+// showEvents writes the page if one is asked for, else prints the events.
+func (c *call) showEvents(events []timeline.Event, instances int) error {
+	if c.events.html != "" {
+		if err := writePage(c.events.html, events); err != nil {
+			return err
+		}
+		out := pageOutput{c.events.html, len(events), instances}
+		return c.print(out, fmt.Sprintf("%d events of %d instances written to %s", out.Events, out.Instances, out.File))
+	}
+	if c.output == "json" {
+		if events == nil {
+			events = []timeline.Event{}
 		}
+		return c.print(events, "")
 	}
-	return true
+	return timeline.WriteText(c.Stdout, events)
 }
 
-func lines(events adminapi.Events) string {
-	var b strings.Builder
-	for _, event := range events {
-		b.Write(event)
-		b.WriteByte('\n')
+// writePage replaces the file only once the page is complete in memory.
+func writePage(file string, events []timeline.Event) error {
+	var page bytes.Buffer
+	if err := timeline.WriteHTML(&page, events); err != nil {
+		return oops.In("ctl").Wrapf(err, "the page cannot be made")
+	}
+	if err := os.WriteFile(file, page.Bytes(), 0o600); err != nil {
+		return oops.In("ctl").Wrapf(err, "the page cannot be written")
 	}
-	return b.String()
+	return nil
 }
