ctl: status says when the published version is not in force

Cause: with a published bundle that every daemon refuses, status printed that all instances have the same version and nothing else.

Change: the line names the published version that is not in force and the command that shows why.

Conclusion: a refused version shows in the first line that operators read.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -288,6 +288,15 @@
 	require.Contains(t, s.out, `"same_version": false`)
 }
 
+// Guards against a published version that every instance refuses and status passes over.
+func TestStatusShowsRefusedVersion(t *testing.T) {
+	s := newSession(t)
+	instance(t, s.store, "entry-1", deaf)
+	s.run("publish @chat")
+	require.Equal(t, ctl.ExitOK, s.run("status"))
+	require.Contains(t, s.out, "all 1 live instances have version 0; the published version 1 is NOT in force")
+}
+
 // Guards against a command without help text, exit codes or JSON output.
 func TestHelp(t *testing.T) {
 	s := newSession(t)
--- a/internal/ctl/instances.go
+++ b/internal/ctl/instances.go
@@ -122,7 +122,7 @@
 	switch {
 	case o.SameVersion:
 		for version, ids := range o.Versions {
-			return fmt.Sprintf("all %d live instances have version %d", len(ids), version)
+			return fmt.Sprintf("all %d live instances have version %d", len(ids), version) + o.aheadText(version)
 		}
 	case len(parts) == 0:
 		return "no live instance answered"
@@ -132,6 +132,15 @@
 	return "live instances DIFFER: " + strings.Join(parts, ", ")
 }
 
+// aheadText says that the published version is not in force. That lasts when the instances
+// refuse its files, as daemons do that are older than the files.
+func (o statusOutput) aheadText(version uint64) string {
+	if o.Version <= version {
+		return ""
+	}
+	return fmt.Sprintf("; the published version %d is NOT in force, see \"bilberryctl timeline -kind config_rejected\"", o.Version)
+}
+
 // maxNames bounds the instances that a line names.
 const maxNames = 5
 
