demo: call bilberryctl with its flags and a long enough secret

Cause: the driver passed -settings to bilberryctl publish, which has no such flag, and wrote a fleet secret of 26 characters where the daemon wants 32.

Change: publish with -platform, -secret-file and -as; join two random texts for the secret.

Before: the driver's command line for bilberryctl did not match its flags.

--- a/internal/demo/daemon.go
+++ b/internal/demo/daemon.go
@@ -36,8 +36,8 @@
 }
 
 // publishArgs returns the CLI's arguments to publish dir.
-func publishArgs(settingsFile, dir string) []string {
-	return []string{"publish", "-settings", settingsFile, dir}
+func publishArgs(platformURL, secretFile, dir string) []string {
+	return []string{"publish", "-platform", platformURL, "-secret-file", secretFile, "-as", "demo", dir}
 }
 
 // adminHeader returns the header that the admin listener wants.
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -51,14 +51,13 @@
 
 // startDaemons starts the daemons of a fleet and lists them in the platform.
 func startDaemons(bin, dir string, world *World, example *Example) (*daemons, error) {
-	d := &daemons{bin: bin, dir: dir, secret: rand.Text(), world: world, process: &processes{}}
-	secretFile := filepath.Join(dir, "secret")
-	if err := os.WriteFile(secretFile, []byte(d.secret+"\n"), 0o600); err != nil {
+	d := &daemons{bin: bin, dir: dir, secret: rand.Text() + rand.Text(), world: world, process: &processes{}}
+	if err := os.WriteFile(d.secretFile(), []byte(d.secret+"\n"), 0o600); err != nil {
 		return nil, oops.Wrap(err)
 	}
 	places := placesOf(example)
 	for i := range instances {
-		s, err := d.settingsFor(i, places[i%len(places)], secretFile)
+		s, err := d.settingsFor(i, places[i%len(places)])
 		if err != nil {
 			return nil, err
 		}
@@ -95,7 +94,7 @@
 	return places
 }
 
-func (d *daemons) settingsFor(i int, p place, secretFile string) (settings, error) {
+func (d *daemons) settingsFor(i int, p place) (settings, error) {
 	addrs, err := freeAddrs(3)
 	if err != nil {
 		return settings{}, err
@@ -104,7 +103,7 @@
 		Instance:   fmt.Sprintf("entry-%d", i+1),
 		DataCentre: p.dataCentre, Region: p.region,
 		CallerAddr: addrs[0], PeerAddr: addrs[1], AdminAddr: addrs[2],
-		PlatformURL: d.world.PlatformURL, FleetSecretFile: secretFile,
+		PlatformURL: d.world.PlatformURL, FleetSecretFile: d.secretFile(),
 	}, nil
 }
 
@@ -137,6 +136,8 @@
 	return nil
 }
 
+func (d *daemons) secretFile() string { return filepath.Join(d.dir, "secret") }
+
 func (d *daemons) logFile(i int) string {
 	return filepath.Join(d.dir, fmt.Sprintf("entry-%d.log", i+1))
 }
@@ -144,7 +145,7 @@
 func (d *daemons) bases() []string { return d.urls }
 
 func (d *daemons) publish(ctx context.Context, dir string) error {
-	return d.process.run(ctx, filepath.Join(d.bin, ctlBinary), publishArgs(d.files[0], dir))
+	return d.process.run(ctx, filepath.Join(d.bin, ctlBinary), publishArgs(d.world.PlatformURL, d.secretFile(), dir))
 }
 
 // kill kills a daemon. The platform's list drops it once its lag has passed.
