demo: explain reuse, skew and control bytes in the report

Cause: the report added sent and received control bytes, so that each message counted at both ends; it compared loads of engines of different capacity; it counted an engine as over the load bound when the others had finished earlier; and with 100 conversations the engines held two requests each, where a bound of 1.25 times the mean rounds to three and moves one chat in four.

The test of the metric parser now covers the same cases in the new form, and directions as well.

The rises above the bound are still to be explained.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -83,12 +84,19 @@
 	require.Equal(t, syscall.SIGKILL, child.ProcessState.Sys().(syscall.WaitStatus).Signal())
 }
 
-// Guards against a metric with labels that is read as one label set only.
-func TestSumMetric(t *testing.T) {
-	text := "bilberry_control_bytes_total{kind=\"a\"} 3\nbilberry_control_bytes_total_x 9\nbilberry_control_bytes_total{kind=\"b\"} 4.5\n"
-	sum, err := sumMetric(bufio.NewScanner(strings.NewReader(text)), controlBytesMetric)
+// Guards against a metric with labels that is read as one label set only, and against bytes
+// of one direction that are counted in the other.
+func TestUsage(t *testing.T) {
+	text := "bilberry_control_bytes_total{direction=\"sent\",kind=\"a\"} 3\nbilberry_control_bytes_total_x 9\n" +
+		"bilberry_control_bytes_total{direction=\"sent\",kind=\"b\"} 4.5\n" +
+		"bilberry_control_bytes_total{direction=\"received\",kind=\"b\"} 2\nbilberry_overflow_total 6\n"
+	last, err := parseSeries(bufio.NewScanner(strings.NewReader(text)))
 	require.NoError(t, err)
-	require.Equal(t, 7.5, sum)
-	_, err = sumMetric(bufio.NewScanner(strings.NewReader("other 1\n")), controlBytesMetric)
+	u := usageOf(map[int]series{0: {}}, map[int]series{0: last, 1: last}, time.Second)
+	require.Equal(t, []float64{7.5}, u.sent)
+	require.Equal(t, []float64{2}, u.received)
+	require.Equal(t, "b 4, a 3", u.largest("sent"))
+	require.Equal(t, 6, u.counter("overflow"))
+	_, err = parseSeries(bufio.NewScanner(strings.NewReader("other x\n")))
 	require.Error(t, err)
 }
--- a/internal/demo/direct.go
+++ b/internal/demo/direct.go
@@ -73,8 +73,8 @@
 
 func (d *direct) kill(instance int) error { return d.servers[instance].Close() }
 
-func (d *direct) controlBytes(context.Context, int) (float64, error) {
-	return 0, oops.Errorf("the direct route has no control traffic")
+func (d *direct) metrics(context.Context, int) (series, error) {
+	return nil, oops.Errorf("the direct route has no control traffic")
 }
 
 func (d *direct) close() {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -10,8 +10,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/samber/oops"
@@ -31,8 +29,8 @@
 	publish(ctx context.Context, dir string) error
 	// kill ends an instance without notice.
 	kill(instance int) error
-	// controlBytes returns the control bytes that an instance has sent so far.
-	controlBytes(ctx context.Context, instance int) (float64, error)
+	// metrics returns an instance's metrics by series.
+	metrics(ctx context.Context, instance int) (series, error)
 	// close ends everything that was started.
 	close()
 }
@@ -158,42 +156,22 @@
 	return nil
 }
 
-// controlBytes sums the label sets of the metric.
-func (d *daemons) controlBytes(ctx context.Context, instance int) (float64, error) {
+// metrics reads an instance's metrics listener.
+func (d *daemons) metrics(ctx context.Context, instance int) (series, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	url := "http://" + d.list[instance].AdminAddr + metricsPath
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return 0, oops.Wrap(err)
+		return nil, oops.Wrap(err)
 	}
 	r.Header.Set(adminHeader(d.secret))
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, oops.Wrap(err)
+		return nil, oops.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return sumMetric(bufio.NewScanner(response.Body), controlBytesMetric)
-}
-
-func sumMetric(lines *bufio.Scanner, name string) (float64, error) {
-	sum, found := 0.0, false
-	for lines.Scan() {
-		rest, ok := strings.CutPrefix(lines.Text(), name)
-		fields := strings.Fields(rest)
-		if !ok || len(fields) == 0 || (rest[0] != ' ' && rest[0] != '{') {
-			continue
-		}
-		value, err := strconv.ParseFloat(fields[len(fields)-1], 64)
-		if err != nil {
-			return 0, oops.Wrapf(err, "metric %s", name)
-		}
-		sum, found = sum+value, true
-	}
-	if !found {
-		return 0, oops.Errorf("metric %s is missing", name)
-	}
-	return sum, lines.Err()
+	return parseSeries(bufio.NewScanner(response.Body))
 }
 
 func (d *daemons) close() { d.process.close() }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -29,13 +29,13 @@
 	Returns, Reused int
 	// CachedShare is the share of prompt tokens of returns that was cached.
 	CachedShare float64
-	// Skew of the requests in flight, over all samples.
-	Samples, OverBound              int
+	// Skew of the requests in flight per unit of capacity, over all samples.
+	Samples, Rises, OverBound       int
 	MeanRatio, MaxRatio, MeanCV     float64
 	StoppedEngine                   string
 	CutByStop, RunsAfterStop        int
-	ControlBytes                    []float64
-	ControlError                    string
+	Usage                           usage
+	MetricsError                    string
 	PlatformPeakReads, PlatformPeak int
 	Elapsed                         time.Duration
 	Details                         []string
@@ -55,7 +55,7 @@
 	p.DoubledSends, p.DifferingOrders = t.doubledSends, t.differing
 	p.Returns, p.Reused = t.returns, t.reused
 	p.CachedShare = float64(t.cachedToks) / float64(max(t.promptTokens, 1))
-	p.Samples, p.OverBound, p.MaxRatio = s.samples, s.overBound, s.maxRatio
+	p.Samples, p.Rises, p.OverBound, p.MaxRatio = s.samples, s.rises, s.overBound, s.maxRatio
 	p.MeanRatio = s.sumRatio / float64(max(s.samples, 1))
 	p.MeanCV = s.sumCV / float64(max(s.samples, 1))
 	counts := r.world.Platform.Counts()
@@ -112,24 +112,36 @@
 	line("  chats finished by more than one run %d", r.DoubledChats)
 	line("  cache reuse: %d of %d returns (%.1f%%), %.1f%% of their prompt tokens",
 		r.Reused, r.Returns, 100*float64(r.Reused)/float64(max(r.Returns, 1)), 100*r.CachedShare)
-	line("  skew: max/mean %.2f on average, %.2f at most, CV %.2f, %d of %d samples over the load bound",
-		r.MeanRatio, r.MaxRatio, r.MeanCV, r.OverBound, r.Samples)
+	line("  skew per capacity: max/mean %.2f on average, %.2f at most, CV %.2f, over %d samples",
+		r.MeanRatio, r.MaxRatio, r.MeanCV, r.Samples)
+	line("  load bound: %d of %d rises of an engine's load went above it", r.OverBound, r.Rises)
 	line("  stopped %s: cut off %d, new runs later than 3 s %d", r.StoppedEngine, r.CutByStop, r.RunsAfterStop)
-	line("  control bytes/s per instance: %s", r.control())
+	r.writeUsage(line)
 	line("  platform: at most %d reads/s and %d writes/s", r.PlatformPeakReads, r.PlatformPeak)
 	for _, detail := range r.Details {
 		line("  ! %s", detail)
 	}
 }
 
-func (r *Report) control() string {
-	if len(r.ControlBytes) == 0 {
-		return "not measured: " + r.ControlError
+// writeUsage writes what the instances' own metrics say.
+func (r *Report) writeUsage(line func(format string, values ...any)) {
+	u := &r.Usage
+	if len(u.sent) == 0 {
+		line("  control bytes/s per instance: not measured: %s", r.MetricsError)
+		return
 	}
+	line("  control bytes/s per instance: sent %s, received %s, of %d instances", spread(u.sent), spread(u.received), len(u.sent))
+	line("    sent: %s", u.largest("sent"))
+	line("    received: %s", u.largest("received"))
+	line("  placement: %d on the first choice, %d on a later one; %d redirects, %d queued, %d retries, %d admit timeouts",
+		u.counter("first_choice_grants"), u.counter("overflow_grants"), u.counter("redirects"), u.counter("queued"),
+		u.counter("retries"), u.counter("admit_timeouts"))
+}
+
+func spread(rates []float64) string {
 	sum := 0.0
-	for _, rate := range r.ControlBytes {
+	for _, rate := range rates {
 		sum += rate
 	}
-	mean := sum / float64(len(r.ControlBytes))
-	return fmt.Sprintf("%.0f on average, %.0f at most, of %d instances", mean, slices.Max(r.ControlBytes), len(r.ControlBytes))
+	return fmt.Sprintf("%.0f on average and %.0f at most", sum/float64(len(rates)), slices.Max(rates))
 }
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -114,7 +114,7 @@
 	if err := r.awaitReady(ctx); err != nil {
 		return err
 	}
-	before := r.readControlBytes(ctx)
+	before := r.readMetrics(ctx)
 	start := time.Now()
 	sampling, stopSampling := context.WithCancel(ctx)
 	var watchers conc.WaitGroup
@@ -128,7 +128,7 @@
 	stopSampling()
 	watchers.Wait()
 	r.report.Elapsed = time.Since(start)
-	r.report.ControlBytes = rates(before, r.readControlBytes(ctx), r.report.Elapsed)
+	r.report.Usage = usageOf(before, r.readMetrics(ctx), r.report.Elapsed)
 	faults.Wait()
 	r.fill()
 	return faultErr
@@ -246,34 +246,21 @@
 	return count
 }
 
-// readControlBytes reads the counters of all instances. It leaves out those that fail.
-func (r *run) readControlBytes(ctx context.Context) map[int]float64 {
-	counters := map[int]float64{}
+// readMetrics reads the metrics of all instances. It leaves out those that fail.
+func (r *run) readMetrics(ctx context.Context) map[int]series {
+	readings := map[int]series{}
 	for i := range r.router.bases() {
 		if r.traffic.killed.Load() == int64(i) {
 			continue
 		}
-		value, err := r.router.controlBytes(ctx, i)
+		values, err := r.router.metrics(ctx, i)
 		if err != nil {
-			r.report.ControlError = err.Error()
+			r.report.MetricsError = err.Error()
 			continue
 		}
-		counters[i] = value
+		readings[i] = values
 	}
-	return counters
-}
-
-// rates returns the rate of each counter that was read twice.
-func rates(before, after map[int]float64, elapsed time.Duration) []float64 {
-	var list []float64
-	for i := range instances {
-		first, ok := before[i]
-		last, again := after[i]
-		if ok && again {
-			list = append(list, (last-first)/elapsed.Seconds())
-		}
-	}
-	return list
+	return readings
 }
 
 // lastLines returns the ends of the daemons' logs.
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -13,7 +13,7 @@
 
 // Timings of the demo's engines. They keep a whole run under half a minute.
 const (
-	tokensPerSecond = 100
+	tokensPerSecond = 40
 	firstToken      = 20 * time.Millisecond
 	prefillPerToken = 100 * time.Microsecond
 	loadLag         = 200 * time.Millisecond
