servicesim, examples: report the load of plain services

Cause: plain services had no load report, so that the home of an ordering or ledger engine saw neither a crash nor a restart.

Change: the stand-in answers GET /load with in_flight, slots and incarnation, and 503 while it restarts; the incarnation rises with each restart.

--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -66,7 +66,7 @@
 			w.Engines[engine.ID] = enginesim.New(engineOptions(service, engine, uint64(i)))
 			server, err = w.keep(w.Engines[engine.ID].Start(loopback))
 		} else {
-			options := servicesim.Options{ID: engine.ID, Delay: callDelay, Idempotent: engine.ChecksKeys}
+			options := servicesim.Options{ID: engine.ID, Delay: callDelay, Idempotent: engine.ChecksKeys, Slots: engine.Slots}
 			w.Services[engine.ID] = servicesim.New(options)
 			server, err = w.keep(w.Services[engine.ID].Start(loopback))
 		}
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -107,7 +107,7 @@
 
 func (f *Fleet) startServices(o Options) {
 	for i := range o.Services {
-		service := servicesim.New(servicesim.Options{ID: fmt.Sprintf("service-%d", i)})
+		service := servicesim.New(servicesim.Options{ID: fmt.Sprintf("service-%d", i), Slots: 64})
 		server, err := service.Start("127.0.0.1:0")
 		require.NoError(f.t, err)
 		f.track(server)
@@ -201,7 +201,7 @@
 	if len(f.serviceAddrs) > 0 {
 		b.WriteString("  orders:\n    kind: plain\n    non_idempotent:\n      - {method: POST, path: /orders}\n    engines:\n")
 		for i, addr := range f.serviceAddrs {
-			fmt.Fprintf(&b, "      - {id: service-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, reports_load: false}\n", i, addr, i%2)
+			fmt.Fprintf(&b, "      - {id: service-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, reports_load: true}\n", i, addr, i%2)
 		}
 	}
 	return b.String()
--- a/internal/standin/servicesim/http.go
+++ b/internal/standin/servicesim/http.go
@@ -20,7 +20,7 @@
 }
 
 // Handler serves the service and its control calls over HTTP. Every method and path other
-// than /health and /control is a call of the service.
+// than /health, /load and /control is a call of the service.
 func (s *Service) Handler() http.Handler {
 	router := httprouter.New()
 	router.HandleMethodNotAllowed = false
@@ -28,6 +28,7 @@
 	router.RedirectTrailingSlash = false
 	router.HandleOPTIONS = false
 	router.HandlerFunc(http.MethodGet, "/health", s.serveHealth)
+	router.HandlerFunc(http.MethodGet, "/load", s.serveLoad)
 	router.HandlerFunc(http.MethodPost, "/control/fault", s.serveFault)
 	router.HandlerFunc(http.MethodGet, "/control/log", s.serveLog)
 	router.NotFound = http.HandlerFunc(s.serveCall)
@@ -108,8 +109,8 @@
 
 // run runs a call with the faults that apply to it.
 func (s *Service) run(w http.ResponseWriter, c *call, own *record) {
-	defer s.settle(c, own)
 	s.begin(c)
+	defer s.settle(c, own)
 	s.pass(c, s.delay())
 	if s.spend(&s.hang) {
 		s.await(c, nil)
@@ -136,6 +137,7 @@
 func (s *Service) begin(c *call) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.inFlight++
 	c.entry = &LogEntry{
 		Key:       c.r.Header.Get(KeyHeader),
 		AttemptID: c.r.Header.Get(AttemptHeader),
@@ -185,6 +187,7 @@
 func (s *Service) settle(c *call, own *record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.inFlight--
 	key := c.r.Header.Get(KeyHeader)
 	if own.receipt == nil && s.records[key] == own {
 		delete(s.records, key)
@@ -203,6 +206,15 @@
 	simutil.WriteJSON(w, http.StatusOK, map[string]string{"status": "ok"})
 }
 
+func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	load, up := s.Load()
+	if !up {
+		simutil.WriteError(w, http.StatusServiceUnavailable, "restarting")
+		return
+	}
+	simutil.WriteJSON(w, http.StatusOK, load)
+}
+
 func (s *Service) serveFault(w http.ResponseWriter, r *http.Request) {
 	var fault Fault
 	if simutil.ReadJSON(w, r, &fault) {
--- a/internal/standin/servicesim/service.go
+++ b/internal/standin/servicesim/service.go
@@ -36,6 +36,10 @@
 	Delay time.Duration
 	// Idempotent makes the service run each idempotency key once and replay its answer.
 	Idempotent bool
+	// Slots is the number of calls that the service reports it can run at once. It is not enforced.
+	Slots int
+	// Incarnation is the first incarnation. The default is 1.
+	Incarnation uint64
 }
 
 // Receipt is the answer to a call. A client can check it against its own request.
@@ -92,6 +96,13 @@
 	Idempotent *bool `json:"idempotent,omitempty"`
 }
 
+// Load is what the service reports about itself, in the same shape as a model engine.
+type Load struct {
+	InFlight    int    `json:"in_flight"`
+	Slots       int    `json:"slots"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // Service is a plain service. It is safe for concurrent use.
 type Service struct {
 	mu      sync.Mutex
@@ -108,6 +119,9 @@
 	crashed bool
 	life    context.Context
 	end     context.CancelFunc
+
+	inFlight    int
+	incarnation uint64
 }
 
 // record is a call that the service's own check knows. ready is closed once the receipt is
@@ -124,6 +138,8 @@
 		counts:  map[string]int{},
 		records: map[string]*record{},
 		restart: defaultRestart,
+
+		incarnation: max(options.Incarnation, 1),
 	}
 	s.life, s.end = context.WithCancel(context.Background())
 	return s
@@ -184,6 +200,13 @@
 	return log
 }
 
+// Load returns the present load, and false while the service restarts.
+func (s *Service) Load() (Load, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Load{InFlight: s.inFlight, Slots: s.options.Slots, Incarnation: s.incarnation}, !s.crashed
+}
+
 // crash breaks all calls and refuses new ones until the restart.
 func (s *Service) crash() {
 	s.mu.Lock()
@@ -193,10 +216,17 @@
 	}
 	s.crashed = true
 	s.end()
-	time.AfterFunc(s.restart, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.crashed = false
-		s.life, s.end = context.WithCancel(context.Background())
-	})
+	time.AfterFunc(s.restart, s.restartNow)
+}
+
+// restartNow begins the next incarnation after a crash.
+func (s *Service) restartNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.crashed {
+		return
+	}
+	s.crashed = false
+	s.incarnation++
+	s.life, s.end = context.WithCancel(context.Background())
 }
--- a/internal/standin/servicesim/service_test.go
+++ b/internal/standin/servicesim/service_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -81,3 +82,23 @@
 	require.Equal(t, 1, receipt.Run)
 	require.Equal(t, map[string]int{"k1": 1, "k2": 1}, service.Log().Counts)
 }
+
+// Guards against a restart that the load report does not show, and against calls that stay
+// counted after a crash.
+func TestLoadShowsRestart(t *testing.T) {
+	service, order := serve(t, Options{Slots: 4})
+	_, _ = order("k1")
+	load, up := service.Load()
+	require.True(t, up)
+	require.Equal(t, Load{Slots: 4, Incarnation: 1}, load)
+	never := int(time.Hour / time.Millisecond)
+	service.SetFault(Fault{CrashAfter: one(), RestartMS: &never})
+	response, _ := order("k2")
+	require.Nil(t, response)
+	_, up = service.Load()
+	require.False(t, up)
+	service.restartNow()
+	load, up = service.Load()
+	require.True(t, up)
+	require.Equal(t, uint64(2), load.Incarnation)
+}
--- a/internal/standin/standin/main.go
+++ b/internal/standin/standin/main.go
@@ -66,7 +66,7 @@
 	flag.StringVar(&e.Version, "version", "", "engine: version of the model")
 	flag.StringVar(&e.Role, "role", "", "engine: role")
 	flag.StringVar(&o.adapters, "adapters", "", "engine: adapters, separated by commas")
-	flag.IntVar(&e.Slots, "slots", 8, "engine: requests that run at once")
+	flag.IntVar(&e.Slots, "slots", 8, "engine, service: requests that run at once; a service only reports them")
 	flag.IntVar(&e.Queue, "queue", 0, "engine: requests that wait inside the engine")
 	flag.Float64Var(&e.TokensPerSecond, "token-rate", 50, "engine: tokens/s of a stream (0: no limit)")
 	flag.Float64Var(&e.BatchSlowdown, "batch-slowdown", 0, "engine: share by which a full batch slows a step")
@@ -90,6 +90,9 @@
 		return o.startEngine()
 	case "service":
 		o.service.ID = o.id
+		o.service.Slots = o.engine.Slots
+		// Restarted processes must not repeat an incarnation.
+		o.service.Incarnation = uint64(time.Now().UnixMilli())
 		return servicesim.New(o.service).Start(o.addr)
 	}
 	return nil, oops.Errorf("unknown kind %q: want platform, engine or service", o.kind)
