core: forget the pool totals of a peer with its link

Cause: the totals of a killed home stayed in force until the instance counted as gone, some seconds later. In that time they raised the bounds of the other homes' engines while the load of the silent home's engines fell.

Change: drop a peer's totals when its link closes; the peer sends complete totals when a link opens.

Fault matrix and harness pass.

Rises above the bound during the takeover remain, as the design allows.

--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -150,8 +150,16 @@
 	c.registerWithHomes(engines)
 }
 
+// peerDown forgets a peer's pool totals with its link. Totals of a killed home would go on
+// raising the bounds of the other engines while the load of its own engines falls. A peer
+// repeats complete totals when its link opens again.
 func (c *Core) peerDown(ev PeerDown) {
 	delete(c.members.linked, ev.Instance)
+	if _, ok := c.homes.peerPools[ev.Instance]; ok {
+		delete(c.homes.peerPools, ev.Instance)
+		c.updatePoolTotals()
+		c.sendDecisions()
+	}
 }
 
 func (c *Core) peerMessage(ev PeerMessage) {
