--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -46,7 +46,7 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	t        *testing.T
+	t        testing.TB
 	Platform *platformsim.Sim
 	Engines  []*enginesim.Engine
 	Services []*servicesim.Service
@@ -69,7 +69,7 @@
 }
 
 // Start starts a fleet and publishes a configuration for it.
-func Start(t *testing.T, o Options) *Fleet {
+func Start(t testing.TB, o Options) *Fleet {
 	f := &Fleet{t: t, Platform: platformsim.New(platformsim.Options{})}
 	server, err := f.Platform.Start("127.0.0.1:0")
 	require.NoError(t, err)
@@ -140,7 +140,7 @@
 	return rows
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
@@ -244,6 +244,9 @@
 	}, Patience, 10*time.Millisecond)
 }
 
+// EngineAddrs returns the addresses of the model engines.
+func (f *Fleet) EngineAddrs() []string { return f.engineAddrs }
+
 // Client returns a client of the test customer for a node.
 func (f *Fleet) Client(n *Node) *callersim.Client {
 	return &callersim.Client{HTTP: &http.Client{}, Base: "http://" + n.Settings.CallerAddr, Key: Key}
