daemon: read the content of streamed chunks without decoding each

Cause: the router keeps the text of an answer, so that another engine can continue it.

Change: learn the text around the content from the first chunk of an attempt, checked with a probe in place of the content, and read the content of chunks that fit by comparing bytes. Escapes, invalid UTF-8 and any other chunk go to the decoder.

--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -49,24 +49,11 @@
 	chatKey string
 	timeout time.Duration
 
-	started bool
-	text    strings.Builder
-	tokens  int
-	cached  bool
-}
-
-// chatChunk is the part of a streamed chunk or an unstreamed answer that the router reads.
-type chatChunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-	} `json:"choices"`
-	Usage *struct {
-		Details struct {
-			CachedTokens int `json:"cached_tokens"`
-		} `json:"prompt_tokens_details"`
-	} `json:"usage"`
+	started  bool
+	text     strings.Builder
+	tokens   int
+	cached   bool
+	template chunkTemplate
 }
 
 // continueFrom asks an engine to continue an answer.
@@ -83,6 +70,8 @@
 	}
 	exchangeCtx, x := newExchange(ctx, timeout)
 	defer x.close()
+	// The chunks of another engine have another id.
+	c.template = chunkTemplate{}
 	end := core.AttemptEnded{Request: cmd.Request, Attempt: cmd.Attempt}
 	res, err := c.send(exchangeCtx, cmd)
 	if err != nil {
@@ -201,19 +190,29 @@
 }
 
 func (c *chatResponder) noteChunk(data []byte) {
+	if text, ok := c.template.content(data); ok {
+		c.noteText(text)
+		return
+	}
 	var chunk chatChunk
 	if json.Unmarshal(data, &chunk) != nil {
 		return
 	}
-	if len(chunk.Choices) > 0 && chunk.Choices[0].Delta.Content != "" {
-		c.text.WriteString(chunk.Choices[0].Delta.Content)
-		c.tokens++
-	}
+	c.noteText([]byte(chunk.content()))
+	c.template.learn(data, &chunk)
 	if chunk.Usage != nil && chunk.Usage.Details.CachedTokens > 0 {
 		c.cached = true
 	}
 }
 
+// noteText records a chunk's content.
+func (c *chatResponder) noteText(text []byte) {
+	if len(text) > 0 {
+		c.text.Write(text)
+		c.tokens++
+	}
+}
+
 // errCallerGone reports a failed write to the caller.
 var errCallerGone = errors.New("daemon: caller is gone")
 
