--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -21,6 +22,7 @@
 	conversationHeader   = "X-Conversation-Id"
 	callerPriorityHeader = "X-Bilberry-Priority"
 	idempotencyHeader    = "Idempotency-Key"
+	servicesPrefix       = "/v1/services/"
 	// maxIdempotencyKeyBytes bounds an idempotency key.
 	maxIdempotencyKeyBytes = 255
 )
@@ -33,7 +35,7 @@
 	for _, method := range []string{
 		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
 	} {
-		router.Handle(method, "/v1/services/:service/*path", d.handlePlain)
+		router.Handle(method, servicesPrefix+":service/*path", d.handlePlain)
 	}
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, notRun(http.StatusNotFound, "unknown_path", "no such path"))
@@ -103,9 +105,13 @@
 		writeError(w, notRun(http.StatusNotFound, core.CodeUnknownService, "unknown service "+strconv.Quote(string(name))))
 		return
 	}
-	path := params.ByName("path")
+	path, ok := servicePath(r, params.ByName("path"))
+	if !ok {
+		writeError(w, notRun(http.StatusNotFound, "unknown_path", "no such path"))
+		return
+	}
 	key := r.Header.Get(idempotencyHeader)
-	nonIdempotent := service.IsNonIdempotent(r.Method, path)
+	nonIdempotent := service.IsNonIdempotent(r.Method, params.ByName("path"))
 	if nonIdempotent && (key == "" || len(key) > maxIdempotencyKeyBytes) {
 		writeError(w, notRun(http.StatusBadRequest, "idempotency_key", "the call needs an Idempotency-Key of 1 to 255 bytes"))
 		return
@@ -136,6 +142,20 @@
 	})
 }
 
+// servicePath returns the path of a service's call as the caller sent it: an encoded slash
+// is data of the service and must not become a separator. decoded is the path that the
+// router matched. An encoded slash in the service's name would make the two differ, so that
+// the call checked for idempotency were not the one sent; it returns false then.
+func servicePath(r *http.Request, decoded string) (string, bool) {
+	rest, ok := strings.CutPrefix(r.URL.EscapedPath(), servicesPrefix)
+	at := strings.IndexByte(rest, '/')
+	if !ok || at < 0 {
+		return "", false
+	}
+	plain, err := url.PathUnescape(rest[at:])
+	return rest[at:], err == nil && plain == decoded
+}
+
 // authenticate finds the customer of an API key. It answers 401 for an unknown key and 503
 // before the first configuration.
 func (d *Daemon) authenticate(w http.ResponseWriter, r *http.Request) (*config.Snapshot, *config.Customer, bool) {
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -42,6 +42,10 @@
 	Services  int
 	// Engine is the template of the model engines.
 	Engine enginesim.Options
+	// EngineAddrs are addresses of further model engines, which report no load.
+	EngineAddrs []string
+	// ServiceHandler, if set, serves one more plain service engine.
+	ServiceHandler http.Handler
 }
 
 // Fleet is a running fleet.
@@ -103,6 +107,7 @@
 		f.Engines = append(f.Engines, engine)
 		f.engineAddrs = append(f.engineAddrs, server.Addr)
 	}
+	f.engineAddrs = append(f.engineAddrs, o.EngineAddrs...)
 }
 
 func (f *Fleet) startServices(o Options) {
@@ -114,6 +119,12 @@
 		f.Services = append(f.Services, service)
 		f.serviceAddrs = append(f.serviceAddrs, server.Addr)
 	}
+	if o.ServiceHandler != nil {
+		server, err := simutil.Start("127.0.0.1:0", &http.Server{Handler: o.ServiceHandler})
+		require.NoError(f.t, err)
+		f.track(server)
+		f.serviceAddrs = append(f.serviceAddrs, server.Addr)
+	}
 }
 
 // configureNodes picks addresses and returns the platform's list.
@@ -195,13 +206,13 @@
 	if len(f.engineAddrs) > 0 {
 		b.WriteString("  chat:\n    kind: chat\n    model: model\n    resume: true\n    stall_timeout: 1s\n    engines:\n")
 		for i, addr := range f.engineAddrs {
-			fmt.Fprintf(&b, "      - {id: engine-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, kv_transfer: true, reports_load: true}\n", i, addr, i%2)
+			fmt.Fprintf(&b, "      - {id: engine-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, kv_transfer: true, reports_load: %t}\n", i, addr, i%2, i < len(f.Engines))
 		}
 	}
 	if len(f.serviceAddrs) > 0 {
 		b.WriteString("  orders:\n    kind: plain\n    non_idempotent:\n      - {method: POST, path: /orders}\n    engines:\n")
 		for i, addr := range f.serviceAddrs {
-			fmt.Fprintf(&b, "      - {id: service-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, reports_load: true}\n", i, addr, i%2)
+			fmt.Fprintf(&b, "      - {id: service-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, reports_load: %t}\n", i, addr, i%2, i < len(f.Services))
 		}
 	}
 	return b.String()
