--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -44,6 +44,8 @@
 	Engine enginesim.Options
 	// EngineAddrs are addresses of further model engines, which report no load.
 	EngineAddrs []string
+	// Adjust, if set, changes the settings of each node.
+	Adjust func(*settings.Settings)
 	// ServiceHandler, if set, serves one more plain service engine.
 	ServiceHandler http.Handler
 }
@@ -81,7 +83,7 @@
 	f.platformURL = server.URL
 	f.startEngines(o)
 	f.startServices(o)
-	rows := f.configureNodes(o.Instances)
+	rows := f.configureNodes(o)
 	f.Platform.SetInstances(rows)
 	for _, node := range f.Nodes {
 		f.StartNode(node)
@@ -128,9 +130,9 @@
 }
 
 // configureNodes picks addresses and returns the platform's list.
-func (f *Fleet) configureNodes(n int) []platform.Instance {
+func (f *Fleet) configureNodes(o Options) []platform.Instance {
 	var rows []platform.Instance
-	for i := range n {
+	for i := range o.Instances {
 		s := settings.Defaults()
 		s.Instance = fleet.InstanceID(fmt.Sprintf("instance-%d", i))
 		s.DataCentre = fleet.DataCentre(fmt.Sprintf("dc-%d", i%2))
@@ -143,6 +145,9 @@
 		s.FleetSecret = settings.Secret("secret")
 		s.BalancerGrace = 100 * time.Millisecond
 		s.StreamStallTimeout = time.Second
+		if o.Adjust != nil {
+			o.Adjust(&s)
+		}
 		f.Nodes = append(f.Nodes, &Node{ID: s.Instance, Settings: s})
 		rows = append(rows, platform.Instance{
 			ID: s.Instance, PeerAddr: s.PeerAddr, AdminAddr: s.AdminAddr, DataCentre: s.DataCentre, Region: s.Region,
