--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -163,14 +163,20 @@
 	c.registerWithHomes(engines)
 }
 
+// peerDown forgets a peer's pool totals with its link. Totals of a killed home would go on
+// raising the bounds of the other engines while the load of its own engines falls. A peer
+// repeats complete totals when its link opens again.
 func (c *Core) peerDown(ev PeerDown) {
 	if c.members.linked[ev.Instance].incarnation != ev.Incarnation {
 		// The link of a newer incarnation is open already.
 		return
 	}
 	delete(c.members.linked, ev.Instance)
-	delete(c.homes.peerPools, ev.Instance)
-	c.updatePoolTotals()
+	if _, ok := c.homes.peerPools[ev.Instance]; ok {
+		delete(c.homes.peerPools, ev.Instance)
+		c.updatePoolTotals()
+		c.sendDecisions()
+	}
 }
 
 func (c *Core) peerMessage(ev PeerMessage) {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -10,8 +10,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/samber/oops"
@@ -31,8 +29,8 @@
 	publish(ctx context.Context, dir string) error
 	// kill ends an instance without notice.
 	kill(instance int) error
-	// controlBytes returns the control bytes that an instance has sent so far.
-	controlBytes(ctx context.Context, instance int) (float64, error)
+	// metrics returns an instance's metrics by series.
+	metrics(ctx context.Context, instance int) (series, error)
 	// close ends everything that was started.
 	close()
 }
@@ -51,14 +49,13 @@
 
 // startDaemons starts the daemons of a fleet and lists them in the platform.
 func startDaemons(bin, dir string, world *World, example *Example) (*daemons, error) {
-	d := &daemons{bin: bin, dir: dir, secret: rand.Text(), world: world, process: &processes{}}
-	secretFile := filepath.Join(dir, "secret")
-	if err := os.WriteFile(secretFile, []byte(d.secret+"\n"), 0o600); err != nil {
+	d := &daemons{bin: bin, dir: dir, secret: rand.Text() + rand.Text(), world: world, process: &processes{}}
+	if err := os.WriteFile(d.secretFile(), []byte(d.secret+"\n"), 0o600); err != nil {
 		return nil, oops.Wrap(err)
 	}
 	places := placesOf(example)
 	for i := range instances {
-		s, err := d.settingsFor(i, places[i%len(places)], secretFile)
+		s, err := d.settingsFor(i, places[i%len(places)])
 		if err != nil {
 			return nil, err
 		}
@@ -95,7 +92,7 @@
 	return places
 }
 
-func (d *daemons) settingsFor(i int, p place, secretFile string) (settings, error) {
+func (d *daemons) settingsFor(i int, p place) (settings, error) {
 	addrs, err := freeAddrs(3)
 	if err != nil {
 		return settings{}, err
@@ -104,7 +101,7 @@
 		Instance:   fmt.Sprintf("entry-%d", i+1),
 		DataCentre: p.dataCentre, Region: p.region,
 		CallerAddr: addrs[0], PeerAddr: addrs[1], AdminAddr: addrs[2],
-		PlatformURL: d.world.PlatformURL, FleetSecretFile: secretFile,
+		PlatformURL: d.world.PlatformURL, FleetSecretFile: d.secretFile(),
 	}, nil
 }
 
@@ -137,6 +134,8 @@
 	return nil
 }
 
+func (d *daemons) secretFile() string { return filepath.Join(d.dir, "secret") }
+
 func (d *daemons) logFile(i int) string {
 	return filepath.Join(d.dir, fmt.Sprintf("entry-%d.log", i+1))
 }
@@ -144,7 +143,7 @@
 func (d *daemons) bases() []string { return d.urls }
 
 func (d *daemons) publish(ctx context.Context, dir string) error {
-	return d.process.run(ctx, filepath.Join(d.bin, ctlBinary), publishArgs(d.files[0], dir))
+	return d.process.run(ctx, filepath.Join(d.bin, ctlBinary), publishArgs(d.world.PlatformURL, d.secretFile(), dir))
 }
 
 // kill kills a daemon. The platform's list drops it once its lag has passed.
@@ -157,42 +156,22 @@
 	return nil
 }
 
-// controlBytes sums the label sets of the metric.
-func (d *daemons) controlBytes(ctx context.Context, instance int) (float64, error) {
+// metrics reads an instance's metrics listener.
+func (d *daemons) metrics(ctx context.Context, instance int) (series, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	url := "http://" + d.list[instance].AdminAddr + metricsPath
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return 0, oops.Wrap(err)
+		return nil, oops.Wrap(err)
 	}
 	r.Header.Set(adminHeader(d.secret))
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, oops.Wrap(err)
+		return nil, oops.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return sumMetric(bufio.NewScanner(response.Body), controlBytesMetric)
-}
-
-func sumMetric(lines *bufio.Scanner, name string) (float64, error) {
-	sum, found := 0.0, false
-	for lines.Scan() {
-		rest, ok := strings.CutPrefix(lines.Text(), name)
-		fields := strings.Fields(rest)
-		if !ok || len(fields) == 0 || (rest[0] != ' ' && rest[0] != '{') {
-			continue
-		}
-		value, err := strconv.ParseFloat(fields[len(fields)-1], 64)
-		if err != nil {
-			return 0, oops.Wrapf(err, "metric %s", name)
-		}
-		sum, found = sum+value, true
-	}
-	if !found {
-		return 0, oops.Errorf("metric %s is missing", name)
-	}
-	return sum, lines.Err()
+	return parseSeries(bufio.NewScanner(response.Body))
 }
 
 func (d *daemons) close() { d.process.close() }
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -114,7 +114,7 @@
 	if err := r.awaitReady(ctx); err != nil {
 		return err
 	}
-	before := r.readControlBytes(ctx)
+	before := r.readMetrics(ctx)
 	start := time.Now()
 	sampling, stopSampling := context.WithCancel(ctx)
 	var watchers conc.WaitGroup
@@ -128,7 +128,7 @@
 	stopSampling()
 	watchers.Wait()
 	r.report.Elapsed = time.Since(start)
-	r.report.ControlBytes = rates(before, r.readControlBytes(ctx), r.report.Elapsed)
+	r.report.Usage = usageOf(before, r.readMetrics(ctx), r.report.Elapsed)
 	faults.Wait()
 	r.fill()
 	return faultErr
@@ -201,14 +201,15 @@
 	if err := r.router.publish(ctx, r.files); err != nil {
 		return oops.Wrapf(err, "publish the stop of %s", engine)
 	}
-	sleep(ctx, stopTime)
 	r.skew.stopped.Store(engine)
+	sleep(ctx, stopTime)
 	stopped := r.world.Engines[engine]
 	runs := stopped.Runs()
 	r.awaitDone(ctx, 2*total/3)
 	r.report.CutByStop = unfinished(stopped)
 	klog.Infof("kill instance %d", killedInstance+1)
 	r.traffic.killed.Store(killedInstance)
+	r.skew.killed.Store(time.Now().UnixNano())
 	if err := r.router.kill(killedInstance); err != nil {
 		return err
 	}
@@ -246,34 +247,21 @@
 	return count
 }
 
-// readControlBytes reads the counters of all instances. It leaves out those that fail.
-func (r *run) readControlBytes(ctx context.Context) map[int]float64 {
-	counters := map[int]float64{}
+// readMetrics reads the metrics of all instances. It leaves out those that fail.
+func (r *run) readMetrics(ctx context.Context) map[int]series {
+	readings := map[int]series{}
 	for i := range r.router.bases() {
 		if r.traffic.killed.Load() == int64(i) {
 			continue
 		}
-		value, err := r.router.controlBytes(ctx, i)
+		values, err := r.router.metrics(ctx, i)
 		if err != nil {
-			r.report.ControlError = err.Error()
+			r.report.MetricsError = err.Error()
 			continue
 		}
-		counters[i] = value
-	}
-	return counters
-}
-
-// rates returns the rate of each counter that was read twice.
-func rates(before, after map[int]float64, elapsed time.Duration) []float64 {
-	var list []float64
-	for i := range instances {
-		first, ok := before[i]
-		last, again := after[i]
-		if ok && again {
-			list = append(list, (last-first)/elapsed.Seconds())
-		}
+		readings[i] = values
 	}
-	return list
+	return readings
 }
 
 // lastLines returns the ends of the daemons' logs.
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -13,7 +13,7 @@
 
 // Timings of the demo's engines. They keep a whole run under half a minute.
 const (
-	tokensPerSecond = 100
+	tokensPerSecond = 40
 	firstToken      = 20 * time.Millisecond
 	prefillPerToken = 100 * time.Microsecond
 	loadLag         = 200 * time.Millisecond
@@ -66,7 +66,7 @@
 			w.Engines[engine.ID] = enginesim.New(engineOptions(service, engine, uint64(i)))
 			server, err = w.keep(w.Engines[engine.ID].Start(loopback))
 		} else {
-			options := servicesim.Options{ID: engine.ID, Delay: callDelay, Idempotent: engine.ChecksKeys}
+			options := servicesim.Options{ID: engine.ID, Delay: callDelay, Idempotent: engine.ChecksKeys, Slots: engine.Slots}
 			w.Services[engine.ID] = servicesim.New(options)
 			server, err = w.keep(w.Services[engine.ID].Start(loopback))
 		}
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -42,11 +42,17 @@
 	Services  int
 	// Engine is the template of the model engines.
 	Engine enginesim.Options
+	// EngineAddrs are addresses of further model engines, which report no load.
+	EngineAddrs []string
+	// Adjust, if set, changes the settings of each node.
+	Adjust func(*settings.Settings)
+	// ServiceHandler, if set, serves one more plain service engine.
+	ServiceHandler http.Handler
 }
 
 // Fleet is a running fleet.
 type Fleet struct {
-	t        *testing.T
+	t        testing.TB
 	Platform *platformsim.Sim
 	Engines  []*enginesim.Engine
 	Services []*servicesim.Service
@@ -69,7 +75,7 @@
 }
 
 // Start starts a fleet and publishes a configuration for it.
-func Start(t *testing.T, o Options) *Fleet {
+func Start(t testing.TB, o Options) *Fleet {
 	f := &Fleet{t: t, Platform: platformsim.New(platformsim.Options{})}
 	server, err := f.Platform.Start("127.0.0.1:0")
 	require.NoError(t, err)
@@ -77,7 +83,7 @@
 	f.platformURL = server.URL
 	f.startEngines(o)
 	f.startServices(o)
-	rows := f.configureNodes(o.Instances)
+	rows := f.configureNodes(o)
 	f.Platform.SetInstances(rows)
 	for _, node := range f.Nodes {
 		f.StartNode(node)
@@ -103,23 +109,30 @@
 		f.Engines = append(f.Engines, engine)
 		f.engineAddrs = append(f.engineAddrs, server.Addr)
 	}
+	f.engineAddrs = append(f.engineAddrs, o.EngineAddrs...)
 }
 
 func (f *Fleet) startServices(o Options) {
 	for i := range o.Services {
-		service := servicesim.New(servicesim.Options{ID: fmt.Sprintf("service-%d", i)})
+		service := servicesim.New(servicesim.Options{ID: fmt.Sprintf("service-%d", i), Slots: 64})
 		server, err := service.Start("127.0.0.1:0")
 		require.NoError(f.t, err)
 		f.track(server)
 		f.Services = append(f.Services, service)
 		f.serviceAddrs = append(f.serviceAddrs, server.Addr)
 	}
+	if o.ServiceHandler != nil {
+		server, err := simutil.Start("127.0.0.1:0", &http.Server{Handler: o.ServiceHandler})
+		require.NoError(f.t, err)
+		f.track(server)
+		f.serviceAddrs = append(f.serviceAddrs, server.Addr)
+	}
 }
 
 // configureNodes picks addresses and returns the platform's list.
-func (f *Fleet) configureNodes(n int) []platform.Instance {
+func (f *Fleet) configureNodes(o Options) []platform.Instance {
 	var rows []platform.Instance
-	for i := range n {
+	for i := range o.Instances {
 		s := settings.Defaults()
 		s.Instance = fleet.InstanceID(fmt.Sprintf("instance-%d", i))
 		s.DataCentre = fleet.DataCentre(fmt.Sprintf("dc-%d", i%2))
@@ -132,6 +145,9 @@
 		s.FleetSecret = settings.Secret("secret")
 		s.BalancerGrace = 100 * time.Millisecond
 		s.StreamStallTimeout = time.Second
+		if o.Adjust != nil {
+			o.Adjust(&s)
+		}
 		f.Nodes = append(f.Nodes, &Node{ID: s.Instance, Settings: s})
 		rows = append(rows, platform.Instance{
 			ID: s.Instance, PeerAddr: s.PeerAddr, AdminAddr: s.AdminAddr, DataCentre: s.DataCentre, Region: s.Region,
@@ -140,7 +156,7 @@
 	return rows
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
@@ -195,13 +211,13 @@
 	if len(f.engineAddrs) > 0 {
 		b.WriteString("  chat:\n    kind: chat\n    model: model\n    resume: true\n    stall_timeout: 1s\n    engines:\n")
 		for i, addr := range f.engineAddrs {
-			fmt.Fprintf(&b, "      - {id: engine-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, kv_transfer: true, reports_load: true}\n", i, addr, i%2)
+			fmt.Fprintf(&b, "      - {id: engine-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, kv_transfer: true, reports_load: %t}\n", i, addr, i%2, i < len(f.Engines))
 		}
 	}
 	if len(f.serviceAddrs) > 0 {
 		b.WriteString("  orders:\n    kind: plain\n    non_idempotent:\n      - {method: POST, path: /orders}\n    engines:\n")
 		for i, addr := range f.serviceAddrs {
-			fmt.Fprintf(&b, "      - {id: service-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, reports_load: false}\n", i, addr, i%2)
+			fmt.Fprintf(&b, "      - {id: service-%d, addr: %q, data_centre: dc-%d, region: region, slots: 64, reports_load: %t}\n", i, addr, i%2, i < len(f.Services))
 		}
 	}
 	return b.String()
@@ -244,6 +260,9 @@
 	}, Patience, 10*time.Millisecond)
 }
 
+// EngineAddrs returns the addresses of the model engines.
+func (f *Fleet) EngineAddrs() []string { return f.engineAddrs }
+
 // Client returns a client of the test customer for a node.
 func (f *Fleet) Client(n *Node) *callersim.Client {
 	return &callersim.Client{HTTP: &http.Client{}, Base: "http://" + n.Settings.CallerAddr, Key: Key}
