Add capacity: measure slopes at several sizes and extrapolate

Cause: the size in two years (490 instances, 1,600 engines) can't be run here, so each role's cost has to be extrapolated from measured slopes.

'make capacity' runs all parts.

--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,10 @@
 	$(GO) build -o $(BIN)/ ./internal/demo/demo
 	$(BIN)/demo -bin $(BIN)
 
+# Measures what an instance costs at several sizes and extrapolates; see docs/CAPACITY.md.
+capacity: build
+	$(GO) build -o $(BIN)/ ./internal/capacity/capacity
+	$(BIN)/capacity -bin $(BIN) -out $(BIN)/capacity.txt
+
 clean:
 	rm -rf $(BIN) out
