core: read a large instance list less often, and dial peers that do not dial

Cause: every instance read the whole list about every 1.6 s. At 490 instances that is 44 KB/s received by each, against 12 KB/s for all control, and 314 of the platform's 2,000 reads/s.

Change: after five reads at the short interval, the interval grows so that the list uses a sixth of the control budget. A new instance dials planned peers that did not dial it by its second read, because they may read the list half a minute later. Links are planned again when the view changes, not only with the list.

Conclusion: the list is within the budget at any size.

--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -3,8 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/internal/core"
 )
 
 // Guards against a wrong slope or a residual that hides a bad fit.
@@ -44,3 +47,34 @@
 	s.request()
 	require.Empty(t, s.started)
 }
+
+// Guards against reads of the list that outgrow their sixth of the control budget, and
+// against a large list that keeps instances of one start from being found.
+func TestListIsReadWithinItsShare(t *testing.T) {
+	s := newSolo(growing(490)[0])
+	s.answerList = true
+	s.run(10 * time.Second)
+	require.Greater(t, s.listReads, 4)
+	s.run(time.Minute)
+	s.listReads = 0
+	s.run(3 * time.Minute)
+	// 490 rows of 142 bytes at 2,048 bytes/s are 34 s, jittered down to 17 s.
+	require.LessOrEqual(t, s.listReads, 11)
+	require.Greater(t, s.listReads, 4)
+}
+
+// Guards against a new instance that stays without links to those that dial by rule but have
+// not read the list since, and against a dial that ends when the link is up.
+func TestNewInstanceDialsPeersThatDoNot(t *testing.T) {
+	s := newSolo(growing(98)[0])
+	late := s.rows[13]
+	late.ID = "instance-"
+	s.rows = append(s.rows, late)
+	s.step(core.InstanceList{Rows: s.rows[:len(s.rows)-1]})
+	require.False(t, s.dialed[late.ID])
+	s.step(core.InstanceList{Rows: s.rows})
+	require.True(t, s.dialed[late.ID])
+	s.peerUp(late)
+	s.step(core.InstanceList{Rows: s.rows})
+	require.True(t, s.dialed[late.ID])
+}
--- a/internal/capacity/list.go
+++ b/internal/capacity/list.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/samber/oops"
 
+	"github.com/bilberrywell/bilberrywell/internal/core"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/standin/platformsim"
 )
@@ -29,9 +31,41 @@
 	}
 	fmt.Fprintln(w, cpu)
 	fmt.Fprintln(w, size)
+	for i, n := range sizes {
+		each := readsPerSecond(n)
+		fmt.Fprintf(w, "instance list at %d instances: %.3f reads/s each, %.1f reads/s of the platform, %.0f B/s received each\n",
+			n, each, each*float64(n), each*size.Points[i].Y*1000)
+	}
 	return nil
 }
 
+const (
+	// listSettle lets the reads after a start pass, listWatch is the time in which reads count.
+	listSettle = 60 * time.Second
+	listWatch  = 10 * time.Minute
+	soloTick   = 100 * time.Millisecond
+)
+
+// readsPerSecond returns the rate at which an instance reads the list.
+func readsPerSecond(n int) float64 {
+	s := newSolo(growing(n)[0])
+	s.answerList = true
+	s.run(listSettle)
+	s.listReads = 0
+	s.run(listWatch)
+	return float64(s.listReads) / listWatch.Seconds()
+}
+
+// run lets time pass with a heartbeat of each peer per second.
+func (s *solo) run(d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += soloTick {
+		if s.now%time.Second == 0 {
+			s.beatAll()
+		}
+		s.step(core.Tick{})
+	}
+}
+
 func listRead(n int) (microseconds, kilobytes float64, err error) {
 	sim := platformsim.New(platformsim.Options{ReadsPerSecond: -1})
 	server, err := sim.Start(loopback)
--- a/internal/capacity/solo.go
+++ b/internal/capacity/solo.go
@@ -32,6 +32,11 @@
 	version uint64
 	// ownedEngine is an engine of this home once it was looked up.
 	ownedEngine fleet.EngineID
+	// answerList makes the platform answer reads of the list, and listReads counts them.
+	answerList bool
+	listReads  int
+	// dialed holds the planned peers that this instance dials.
+	dialed map[fleet.InstanceID]bool
 }
 
 // placeOf returns the data centre and region of the i-th instance or engine.
@@ -160,6 +165,11 @@
 	switch e := effect.(type) {
 	case core.SetPeers:
 		s.setPeers(e)
+	case core.ListInstances:
+		s.listReads++
+		if s.answerList {
+			return core.InstanceList{Rows: s.rows}
+		}
 	case core.StoreGet:
 		value, ok := s.values[e.Key]
 		if !ok {
@@ -180,8 +190,10 @@
 
 func (s *solo) setPeers(e core.SetPeers) {
 	planned := make(map[fleet.InstanceID]bool)
+	s.dialed = make(map[fleet.InstanceID]bool)
 	for _, p := range e.Peers {
 		planned[p.ID] = true
+		s.dialed[p.ID] = p.Dial
 	}
 	s.linked = s.linked[:0]
 	for _, row := range s.rows {
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -11,8 +11,16 @@
 )
 
 const (
-	// listInterval is the time between reads of the platform's instance list.
+	// listInterval is the shortest time between reads of the platform's instance list, and
+	// between plans of links after changes.
 	listInterval = 2 * time.Second
+	// earlyListReads is the number of reads after the start at the shortest interval, because
+	// the list lags and instances that start together must find each other.
+	earlyListReads = 5
+	// listRowBytes is the size of a row of the list, and listShare the part of the control
+	// budget for reading it. At 490 instances the list has 69 KB and is read every 27 s.
+	listRowBytes = 142
+	listShare    = 6
 	// listSilence is the time after which an unanswered read of the list is repeated.
 	listSilence = 10 * time.Second
 	// heartbeatBytes is the size of a heartbeat with its frame, for the interval at the control budget.
@@ -28,9 +36,16 @@
 
 // memberState is the state of the membership role.
 type memberState struct {
-	listed        bool
-	listPending   bool
-	nextList      time.Duration
+	listed      bool
+	listPending bool
+	// listReads counts the answered reads of the list.
+	listReads int
+	nextList  time.Duration
+	// replan tells that the view changed since links were planned.
+	replan   bool
+	nextPlan time.Duration
+	// dialing holds the planned peers that should have dialed this instance and did not.
+	dialing       map[fleet.InstanceID]bool
 	nextHeartbeat time.Duration
 	nextLoadCheck time.Duration
 	nextStopCheck time.Duration
@@ -58,12 +73,13 @@
 // instanceList takes the platform's list of instances. Rows without this instance are kept: the list lags.
 func (c *Core) instanceList(ev InstanceList) {
 	c.members.listPending = false
-	c.members.nextList = c.mono() + c.jitter(listInterval)
+	c.members.nextList = c.mono() + c.jitter(c.nextListInterval(len(ev.Rows)))
 	if ev.Err != nil {
 		c.count(CounterStoreErrors, 1)
 		return
 	}
 	c.members.listed = true
+	c.members.listReads++
 	rows := make([]membership.Row, len(ev.Rows))
 	for i, row := range ev.Rows {
 		rows[i] = membership.Row{Instance: membership.Instance{
@@ -77,6 +93,16 @@
 	c.planLinks()
 }
 
+// nextListInterval is the longest time to the next read of a list. Heartbeats and open links
+// tell of changes earlier, so a large list is read no more often than its share of the budget allows.
+func (c *Core) nextListInterval(rows int) time.Duration {
+	if c.members.listReads < earlyListReads {
+		return listInterval
+	}
+	interval := time.Duration(rows*listRowBytes) * time.Second / time.Duration(c.cfg.ControlBudget/listShare)
+	return max(interval, listInterval)
+}
+
 // planLinks sets the links to hold.
 func (c *Core) planLinks() {
 	self := membership.Instance{
@@ -84,17 +110,29 @@
 	}
 	links := membership.LinkPlan(self, c.view.Peers())
 	peers := make([]PeerTarget, len(links))
+	dialing := make(map[fleet.InstanceID]bool)
 	var expected []fleet.InstanceID
 	for i, link := range links {
-		peers[i] = PeerTarget{ID: link.ID, Addr: link.Addr, Dial: link.Dial}
+		dialing[link.ID] = !link.Dial && c.mustDial(link.ID)
+		peers[i] = PeerTarget{ID: link.ID, Addr: link.Addr, Dial: link.Dial || dialing[link.ID]}
 		if link.Region != c.cfg.Region {
 			expected = append(expected, link.ID)
 		}
 	}
+	c.members.dialing = dialing
+	c.members.replan = false
+	c.members.nextPlan = c.mono() + listInterval
 	c.view.Expect(c.mono(), expected)
 	c.emit(SetPeers{Peers: peers})
 }
 
+// mustDial reports whether this instance dials a peer that should dial it: one that has not
+// done so by the second read of the list, since it may learn of this instance much later. The
+// choice stays, because the link would be closed with it.
+func (c *Core) mustDial(peer fleet.InstanceID) bool {
+	return c.members.dialing[peer] || (c.members.listReads > 1 && !c.isLinked(peer))
+}
+
 // applyChanges follows changes of the view.
 func (c *Core) applyChanges(changes []membership.Change) {
 	for _, change := range changes {
@@ -107,6 +145,7 @@
 	}
 	if epoch := c.view.Epoch(); epoch != c.members.epoch {
 		c.members.epoch = epoch
+		c.members.replan = true
 		c.reassignHomes()
 	}
 }
@@ -241,6 +280,9 @@
 }
 
 func (c *Core) tickList() {
+	if c.members.replan && c.members.listed && c.mono() >= c.members.nextPlan {
+		c.planLinks()
+	}
 	if c.mono() < c.members.nextList {
 		return
 	}
