core: look for silent members every 100 ms, not with each tick

Cause: each tick of 10 ms judged every known instance, 490 of them.

Change: the view is judged every 100 ms. Silence limits are 3 s and more.

--- a/internal/capacity/events.go
+++ b/internal/capacity/events.go
@@ -24,7 +24,7 @@
 }
 
 var eventKinds = []eventKind{
-	{"tick", constant(100), (*solo).tick},
+	{"10 ticks", constant(10), (*solo).tick},
 	{"stop check", constant(4), (*solo).stopCheck},
 	{"heartbeat received", heartbeatRate, (*solo).oneBeat},
 	{"heartbeats of all peers, and own sent", sendRate, (*solo).sendBeats},
@@ -60,8 +60,17 @@
 
 func changeRate(s *solo) float64 { return s.size.ChangesPerDay / 86400 }
 
-// tick repeats a tick without letting time pass, so that only the scans of every tick count.
-func (s *solo) tick() { s.step(core.Tick{}) }
+// ticksPerCall is the number of ticks that a call of tick stands for: a round of the timers
+// that run less often than each tick.
+const ticksPerCall = 10
+
+// tick lets 100 ms pass in ticks of 10 ms.
+func (s *solo) tick() {
+	for range ticksPerCall {
+		s.now += 10 * time.Millisecond
+		s.step(core.Tick{})
+	}
+}
 
 // stopCheckInterval is that of internal/core.
 const stopCheckInterval = 250 * time.Millisecond
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -30,6 +30,8 @@
 	// fullHeartbeatEvery is the number of heartbeats after which complete totals are repeated,
 	// in case a link dropped a change.
 	fullHeartbeatEvery = 10
+	// judgeInterval is the time between looks for silent members, which scan the whole view.
+	judgeInterval = 100 * time.Millisecond
 	// stopCheckInterval is the time between checks for planned stops that begin or end.
 	stopCheckInterval = 250 * time.Millisecond
 )
@@ -49,6 +51,7 @@
 	nextHeartbeat time.Duration
 	nextLoadCheck time.Duration
 	nextStopCheck time.Duration
+	nextJudge     time.Duration
 	sequence      uint64
 	// linked holds the peers with an open link.
 	linked map[fleet.InstanceID]linkedPeer
@@ -247,7 +250,10 @@
 }
 
 func (c *Core) tickMembers() {
-	c.applyChanges(c.view.Tick(c.mono()))
+	if c.mono() >= c.members.nextJudge {
+		c.members.nextJudge = c.mono() + judgeInterval
+		c.applyChanges(c.view.Tick(c.mono()))
+	}
 	c.tickList()
 	if c.mono() >= c.members.nextStopCheck {
 		c.members.nextStopCheck = c.mono() + stopCheckInterval
