bench: measure decisions in virtual time against baselines

Cause: the targets for cache reuse, skew, control traffic and surges had no measurement over several policies in one run.

Change: internal/bench runs the reducers through the harness, and round robin, rendezvous, least loaded, two choices and an oracle over the same fake engines and seeded traces; make bench writes docs/bench.md. The harness records the first run and first token of a call, reports starts of runs and runs calls without an instance.

--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,9 @@
 	$(GO) build -o $(BIN)/ ./internal/demo/demo
 	$(BIN)/demo -bin $(BIN)
 
+# Measures decisions in virtual time against baselines and updates docs/bench.md.
+bench:
+	$(GO) run ./internal/bench/bench
+
 clean:
 	rm -rf $(BIN) out
--- a/internal/harness/callers.go
+++ b/internal/harness/callers.go
@@ -34,10 +34,12 @@
 	Key string
 	// Tokens is the length of the answer.
 	Tokens int
-	// Start and End are virtual times. FirstRun is zero until an engine ran the call.
-	Start, End time.Duration
-	Result     Result
-	Code       string
+	// Start and End are virtual times. FirstRun is zero until an engine ran the call;
+	// FirstToken is when the answer of the latest run from its beginning started.
+	Start, End           time.Duration
+	FirstRun, FirstToken time.Duration
+	Result               Result
+	Code                 string
 	// Cached tells that the engine that completed the call had its chat's prefix.
 	Cached bool
 	// Runs counts the runs on engines that this call started.
--- a/internal/harness/engine.go
+++ b/internal/harness/engine.go
@@ -79,6 +79,8 @@
 	first   time.Duration
 	silent  bool
 	gone    bool
+	// done is set for a run without an instance.
+	done func()
 }
 
 // AddEngine adds an engine that is up.
@@ -125,10 +127,8 @@
 		n.reply(e.h.Config.Latency, core.AttemptEnded{Request: cmd.Request, Attempt: cmd.Attempt, Result: wire.ResultNotRun})
 		return
 	}
-	call.Runs++
-	e.Starts = append(e.Starts, e.h.now)
 	r := &run{engine: e, node: n, call: call, cmd: cmd, process: n.incarnation}
-	e.running[r] = true
+	e.book(r)
 	if e.Poison[call.Fingerprint] {
 		e.Crash()
 		return
@@ -141,6 +141,19 @@
 	e.serve(r)
 }
 
+// book counts the start of a run.
+func (e *Engine) book(r *run) {
+	r.call.Runs++
+	if r.call.Runs == 1 {
+		r.call.FirstRun = e.h.now
+	}
+	e.Starts = append(e.Starts, e.h.now)
+	e.running[r] = true
+	if e.h.OnStart != nil {
+		e.h.OnStart(e)
+	}
+}
+
 // serve schedules the first token and the end of a run.
 func (e *Engine) serve(r *run) {
 	_, r.cached = e.cached[r.call.Chat]
@@ -150,6 +163,9 @@
 	}
 	e.touch(r.call.Chat)
 	r.first = e.h.now + prefill
+	if r.call.delivered == 0 {
+		r.call.FirstToken = r.first
+	}
 	total := prefill + time.Duration(r.call.remaining())*e.PerToken
 	if r.call.Key != "" {
 		e.h.After(total/2, func() { e.effect(r) })
@@ -194,6 +210,11 @@
 }
 
 func (r *run) report(ended core.AttemptEnded) {
+	if r.done != nil {
+		r.call.complete(r.cached)
+		r.done()
+		return
+	}
 	n := r.node
 	n.h.After(n.h.Config.Latency, func() {
 		if !n.Up || n.incarnation != r.process {
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -40,6 +40,8 @@
 	Bytes Traffic
 	// Events counts the events handled by all reducers.
 	Events int
+	// OnStart, if set, is called at the start of each run on an engine.
+	OnStart func(*Engine)
 
 	now   time.Duration
 	queue eventQueue
