core: send returning chats to the engine where they overflowed

Cause: the trace showed that 15% of grants overflow, and that such a chat returned to its first choice, where it was cold.

Change: the entry tells the home of the first choice where an overflowed chat runs. When the chat is cold on the first choice, that home redirects the next request to the engine where it ran last.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -183,6 +183,8 @@
 		c.admitReplied(from, m)
 	case *wire.CancelAdmit:
 		c.admitCanceled(from, m)
+	case *wire.Placed:
+		c.homes.placements.add(m.First, m.Chat, m.Engine)
 	case *wire.Release:
 		c.grantReleased(from, m)
 	case *wire.Register:
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -58,6 +58,10 @@
 
 	choices []*engineInfo
 	next    int
+	// settled is set once the first choice's home was asked where the chat was placed, and
+	// placed is its answer.
+	settled bool
+	placed  fleet.EngineID
 	// mayQueue is set once all choices were asked without success.
 	mayQueue bool
 	// walks counts the times that all choices were asked.
@@ -172,6 +176,7 @@
 	r.choices = pool.choices(r.call.Chat)
 	r.next = 0
 	r.mayQueue = false
+	r.settled, r.placed = r.service.Kind != config.KindChat, ""
 	c.askNext(r)
 }
 
@@ -200,7 +205,11 @@
 
 // skip reports whether asking an engine is known to be useless.
 func (c *Core) skip(r *request, engine *engineInfo) bool {
-	return engine.stopped || engine.saturated || slices.Contains(r.avoid, engine.ID)
+	if engine.stopped || slices.Contains(r.avoid, engine.ID) || engine.ID == r.placed {
+		return true
+	}
+	// A saturated first choice is asked all the same: its home may know where the chat is warm.
+	return engine.saturated && (r.settled || engine != r.choices[0])
 }
 
 // ask sends an admission request for an engine to its home.
@@ -229,7 +238,9 @@
 		Fingerprint: r.call.Fingerprint,
 		MayQueue:    r.mayQueue,
 		LastChoice:  r.mayQueue && r.walks >= maxWalks,
+		Settled:     r.settled || engine != r.choices[0],
 	})
+	r.settled = true
 }
 
 // remaining returns the milliseconds until a deadline, at least 1, or 0 without a deadline.
@@ -262,7 +273,9 @@
 	case wire.DecisionRedirect:
 		c.count(CounterRedirects, 1)
 		c.forgetAttempt(r)
-		c.redirected(r)
+		if !c.askPlaced(r, m.Placed) {
+			c.redirected(r)
+		}
 	case wire.DecisionRefused:
 		c.admitRefused(r, m)
 	}
@@ -311,6 +324,7 @@
 		c.budget.Attempt()
 		c.countChoice(r)
 	}
+	c.announcePlacement(r)
 	id := c.attemptID(r.attempt)
 	c.emit(StartAttempt{
 		Request:      r.id,
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -26,6 +26,8 @@
 	grants map[fleet.AttemptID]grant
 	probes map[fleet.EngineID]*probe
 	moves  moveState
+	// placements remembers the chats that run elsewhere than on their first choice.
+	placements placements
 	// announced is what the last heartbeats said.
 	announced admission.Counts
 	// peerPools holds the pool totals of other homes.
@@ -45,6 +47,7 @@
 	h.probes = make(map[fleet.EngineID]*probe)
 	h.peerPools = make(map[fleet.InstanceID]map[fleet.ServiceID]wire.PoolTotal)
 	h.moves.init()
+	h.placements.init()
 	h.admission = c.newAdmission(config.DefaultLoadBound, config.DefaultQueueLength)
 }
 
@@ -153,6 +156,7 @@
 		if !keep[id] {
 			c.homes.admission.Drop(c.mono(), id)
 			delete(c.homes.probes, id)
+			c.homes.placements.drop(id)
 		}
 	}
 	for id := range c.homes.homes {
@@ -227,6 +231,9 @@
 
 // admitRequested answers an entry's admission request.
 func (c *Core) admitRequested(from fleet.InstanceID, m *wire.Admit) {
+	if c.redirectPlaced(from, m) {
+		return
+	}
 	id := c.attemptIDFrom(from, m.Attempt)
 	customer := c.customer(m.Customer)
 	request := admission.Request{
--- /dev/null
+++ b/internal/core/placements_test.go
@@ -0,0 +1,26 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+)
+
+// Guards against placements that grow without limit, and against losing a chat that still returns.
+func TestPlacementsAreBoundedAndKeepActiveChats(t *testing.T) {
+	var p placements
+	p.init()
+	p.add("first", 1, "other")
+	for chat := range fleet.ChatKey(10 * maxPlacements) {
+		p.add("first", chat+2, "other")
+		if chat%1000 == 0 {
+			require.Equal(t, fleet.EngineID("other"), p.find("first", 1))
+		}
+	}
+	set := p.byFirst["first"]
+	require.LessOrEqual(t, len(set.recent)+len(set.old), 2*maxPlacements)
+	require.Empty(t, p.find("first", 2))
+	require.Empty(t, p.find("second", 1))
+}
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -63,6 +63,9 @@
 // Kind implements Message.
 func (*Stamp) Kind() Kind { return KindStamp }
 
+// Kind implements Message.
+func (*Placed) Kind() Kind { return KindPlaced }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -108,6 +111,8 @@
 		return &CancelAdmit{}
 	case KindStamp:
 		return &Stamp{}
+	case KindPlaced:
+		return &Placed{}
 	}
 	return nil
 }
@@ -157,6 +162,8 @@
 		return "cancel_admit"
 	case KindStamp:
 		return "stamp"
+	case KindPlaced:
+		return "placed"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -33,6 +33,7 @@
 	KindEngineState    Kind = 19
 	KindCancelAdmit    Kind = 20
 	KindStamp          Kind = 21
+	KindPlaced         Kind = 22
 )
 
 // Hello is the first message on a link, in both directions.
@@ -95,6 +96,8 @@
 	MayQueue bool `cbor:"9,keyasint,omitempty"`
 	// LastChoice keeps a queued attempt in this queue instead of sending it to other engines.
 	LastChoice bool `cbor:"10,keyasint,omitempty"`
+	// Settled asks for this engine, wherever else the chat was placed before.
+	Settled bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Decision is a home's answer to Admit.
@@ -117,6 +120,16 @@
 	RetryAfterMs uint32 `cbor:"4,keyasint,omitempty"`
 	// EngineIncarnation is the engine's incarnation as last reported to its home.
 	EngineIncarnation uint64 `cbor:"5,keyasint,omitempty"`
+	// Placed is, with a redirect, the engine on which the chat ran last.
+	Placed fleet.EngineID `cbor:"6,keyasint,omitempty"`
+}
+
+// Placed tells the home of a chat's first choice on which other engine the chat runs.
+type Placed struct {
+	Chat fleet.ChatKey `cbor:"1,keyasint"`
+	// First is the chat's first choice and Engine the one that runs it.
+	First  fleet.EngineID `cbor:"2,keyasint"`
+	Engine fleet.EngineID `cbor:"3,keyasint"`
 }
 
 // CancelAdmit withdraws a queued attempt.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -14,6 +14,7 @@
 		&Admit{Attempt: 1, Engine: "e1", Chat: 1 << 60, Customer: "c1", MayQueue: true},
 		&ClaimReply{ID: 3, Status: ClaimRecorded, Outcome: &Outcome{Status: 201, Body: []byte("ok")}},
 		&Strike{Engine: "e1", EngineIncarnation: 2, Fingerprints: nil},
+		&Placed{Chat: 7, First: "e1", Engine: "e2"},
 	}
 }
 
