admission: admit cold chats up to the mean load, warm ones up to the bound

Cause: the trace showed warm chats that found their engine at its bound, filled by chats that were as well served elsewhere.

Change: a home redirects a request for a chat that is cold on the engine once the engine is at the pool's mean load, until the entry has asked all choices.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -48,6 +48,9 @@
 	Chat        fleet.ChatKey
 	Fingerprint fleet.Fingerprint
 	Engine      fleet.EngineID
+	// Movable tells that another engine serves the request as well as this one if its chat is
+	// cold here: it is admitted only up to the cold share of the load.
+	Movable bool
 	// MayQueue allows the request to wait at this engine.
 	MayQueue bool
 	// LastChoice keeps a waiting request here until the queue's time limit, without a redirect.
@@ -151,6 +154,9 @@
 type Config struct {
 	// Factor is c, the multiple of the pool's mean load. Default 1.25.
 	Factor float64
+	// ColdFactor is the multiple of the pool's mean load up to which movable cold requests are
+	// admitted. It leaves the room up to Factor to chats that return. Default 1.
+	ColdFactor float64
 	// TakeoverShare is the share of the bound that is admitted during a takeover. Default 0.25.
 	TakeoverShare float64
 	// TakeoverWindow is the longest takeover. Default 5 s.
@@ -187,6 +193,7 @@
 
 func (c Config) withDefaults() Config {
 	c.Factor = cmp.Or(c.Factor, 1.25)
+	c.ColdFactor = cmp.Or(c.ColdFactor, 1)
 	c.TakeoverShare = cmp.Or(c.TakeoverShare, 0.25)
 	c.TakeoverWindow = cmp.Or(c.TakeoverWindow, 5*time.Second)
 	c.Rewalk = cmp.Or(c.Rewalk, 200*time.Millisecond)
--- a/admission/home.go
+++ b/admission/home.go
@@ -255,9 +255,20 @@
 
 // limit returns the most attempts that an engine may run now: its load bound or its slots.
 func (h *Home) limit(e *engine) int {
+	return min(h.bound(e, h.config.Factor), e.Slots)
+}
+
+// bound returns an engine's load bound for a multiple of the pool's mean load.
+func (h *Home) bound(e *engine, factor float64) int {
 	inFlight := e.pool.inFlight + e.pool.others.InFlight
 	total := e.pool.capacity + e.pool.others.Capacity
-	return min(affinity.Bound(h.config.Factor, inFlight, total, e.Capacity), e.Slots)
+	return affinity.Bound(factor, inFlight, total, e.Capacity)
+}
+
+// roomForCold reports whether an engine may run one more attempt of a cold chat that can as
+// well run elsewhere.
+func (h *Home) roomForCold(e *engine) bool {
+	return e.inFlight < h.bound(e, h.config.ColdFactor)
 }
 
 // room reports whether an engine may run one more attempt.
--- a/admission/offer.go
+++ b/admission/offer.go
@@ -27,6 +27,9 @@
 		}
 		return d
 	}
+	if r.Movable && e.cache.warmth(r.Chat) == Cold && !h.roomForCold(e) {
+		return refusal(r, Redirect, Saturated)
+	}
 	c := e.customerOf(now, r.Customer, r.Weight)
 	if h.room(e) && h.entitled(e, c) {
 		return h.admit(now, e, c, r)
--- a/admission/surge_test.go
+++ b/admission/surge_test.go
@@ -126,3 +126,22 @@
 		}
 	}
 }
+
+// Guards against new chats that fill an engine up to its bound, so that its returning chats
+// find no room: a cold request that may run elsewhere is admitted up to the mean load only.
+func TestRoomAboveTheMeanIsKeptForWarmChats(t *testing.T) {
+	home := admission.New(admission.Config{})
+	home.Adopt(0, admission.Engine{ID: "e", Pool: "p", Slots: 100, Capacity: 1}, false)
+	home.SetPool(0, "p", 90, 9)
+	offer := func(n int, chat fleet.ChatKey, movable bool) admission.Decision {
+		return home.Offer(0, admission.Request{Attempt: fleet.AttemptID(fmt.Sprint(n)), Engine: "e", Chat: chat, Movable: movable})
+	}
+	home.CacheEvent("e", admission.CacheEvent{Seq: 1, At: 1, Stored: []fleet.ChatKey{7}})
+	// The eleventh is within ceil((90 + 10 + 1) / 10), the twelfth is not.
+	for n := range 11 {
+		require.Equal(t, admission.Granted, offer(n, fleet.ChatKey(100+n), true).Kind)
+	}
+	require.Equal(t, admission.Redirect, offer(20, 200, true).Kind)
+	require.Equal(t, admission.Granted, offer(21, 7, true).Kind)
+	require.Equal(t, admission.Granted, offer(22, 200, false).Kind)
+}
--- a/internal/bench/bench/main.go
+++ b/internal/bench/bench/main.go
@@ -12,7 +12,7 @@
 func main() {
 	seed := flag.Uint64("seed", 1, "seed of all traces")
 	page := flag.String("page", "docs/bench.md", "page whose generated part is replaced; empty prints only")
-	only := flag.String("only", "", "parts to run, of scenarios, surge and faults; empty runs all")
+	only := flag.String("only", "", "parts to run, of scenarios, small, surge and faults; empty runs all")
 	flag.Parse()
 	text := bench.Run(*seed, *only)
 	fmt.Print(text)
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -20,11 +20,13 @@
 	ratios, variations []float64
 	utilisation        float64
 	starts, above      int
-	worst              float64
-	bytesBefore        map[wire.Kind]int
-	storeBefore        map[string]int
-	bytes              map[wire.Kind]int
-	store              map[string]int
+	// warmAt tells, by request of the trace, where its prefix is cached at its arrival.
+	warmAt      []warmPlace
+	worst       float64
+	bytesBefore map[wire.Kind]int
+	storeBefore map[string]int
+	bytes       map[wire.Kind]int
+	store       map[string]int
 }
 
 // measure begins the measurement after the warm-up.
@@ -108,7 +110,9 @@
 	// requests counts those that arrived in the measured time, and failed those of them without an answer.
 	requests, failed int
 	// reuse is the share of returning chats that found their prefix cached.
-	reuse             float64
+	reuse float64
+	// cold holds the shares of returning chats that ran cold, by where they were warm.
+	cold              [placesEnd]float64
 	skewMean, skewP99 float64
 	variation         float64
 	utilisation       float64
@@ -175,6 +179,8 @@
 			returning++
 			if call.Cached {
 				warm++
+			} else {
+				r.cold[s.meter.warmAt[i]]++
 			}
 		}
 		queue = append(queue, call.FirstRun-call.Start)
@@ -185,6 +191,9 @@
 		}
 	}
 	r.reuse = float64(warm) / float64(max(1, returning))
+	for place := range r.cold {
+		r.cold[place] /= float64(max(1, returning))
+	}
 	r.extra = float64(runs) / float64(max(1, r.requests))
 	r.queue, r.first = quantilesOf(queue), quantilesOf(first)
 	r.othersQueue, r.othersFirst = quantilesOf(others), quantilesOf(othersFirst)
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -30,8 +30,7 @@
 }
 
 // scenarios runs every scenario with every policy.
-func (r *report) scenarios(seed uint64) {
-	list := scenarios(seed)
+func (r *report) scenarios(list []scenario) {
 	var plans []plan
 	for _, s := range list {
 		plans = append(plans, byPolicy(s.plan)...)
@@ -59,9 +58,19 @@
 			ms(x.queue.p50), ms(x.queue.p95), ms(x.queue.p99), ms(x.first.p95), ms(x.first.p99), 100*x.extra, 100*x.failRate())
 	}
 	r.line("")
+	r.line("Returning chats that ran cold, in %% of all returning ones: %s.\n", coldReasons(group[0], oracle))
 	r.checkFleet(s.name, group[0], oracle)
 }
 
+// coldReasons tells where the chats of cold runs were cached.
+func coldReasons(f, oracle result) string {
+	part := func(x result) string {
+		return fmt.Sprintf("%.1f cached nowhere, %.1f at an engine without room, %.1f at one with room",
+			100*x.cold[nowhere], 100*x.cold[noRoom], 100*x.cold[withRoom])
+	}
+	return "fleet " + part(f) + "; oracle " + part(oracle)
+}
+
 func (r *report) checkFleet(name string, f, oracle result) {
 	if gap := oracle.reuse - f.reuse; gap > reuseTarget {
 		r.miss("%s: cache reuse is %.1f points below the oracle (target 2).", name, 100*gap)
--- a/internal/bench/scenarios.go
+++ b/internal/bench/scenarios.go
@@ -67,7 +67,10 @@
 	var r report
 	wants := func(part string) bool { return only == "" || strings.Contains(only, part) }
 	if wants("scenarios") {
-		r.scenarios(seed)
+		r.scenarios(scenarios(seed))
+	}
+	if only == "small" {
+		r.scenarios(scenarios(seed)[:3])
 	}
 	if wants("surge") {
 		r.surge(seed)
--- a/internal/bench/session.go
+++ b/internal/bench/session.go
@@ -164,6 +164,7 @@
 		return
 	}
 	s.After(s.origin+s.trace[i].at-s.Now(), func() {
+		s.meter.warmAt = append(s.meter.warmAt, s.warmPlace(s.trace[i]))
 		s.calls[i] = s.router.submit(s.trace[i])
 		s.arrive(i + 1)
 	})
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -246,6 +246,7 @@
 		Chat:        m.Chat,
 		Fingerprint: m.Fingerprint,
 		Engine:      m.Engine,
+		Movable:     !m.MayQueue && c.servesChats(m.Engine),
 		MayQueue:    m.MayQueue,
 		LastChoice:  m.LastChoice,
 	}
@@ -257,6 +258,12 @@
 	c.sendDecisions()
 }
 
+// servesChats reports whether an engine belongs to a chat service.
+func (c *Core) servesChats(id fleet.EngineID) bool {
+	engine := c.engines[id]
+	return engine != nil && engine.service.Kind == config.KindChat
+}
+
 // attemptIDFrom returns the fleet-wide id of an attempt of an entry.
 func (c *Core) attemptIDFrom(entry fleet.InstanceID, attempt uint64) fleet.AttemptID {
 	if entry == c.cfg.Instance {
