core: announce cached chats when their first choice changes

Cause: the trace showed 4.6% of returning chats cold although an engine that had them had room. Their first choice had been replaced, or was new, and its home knew no placements.

Doubtful chats are included.

--- a/admission/cache.go
+++ b/admission/cache.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
@@ -173,11 +174,11 @@
 	}
 }
 
-// recent returns at most limit chats that are warm, most recently used first.
-func (c *cacheEstimate) recent(limit int) []fleet.ChatKey {
+// recent returns at most limit chats that were confirmed since a time, most recently used first.
+func (c *cacheEstimate) recent(since time.Duration, limit int) []fleet.ChatKey {
 	var chats []fleet.ChatKey
 	for i := c.head; i != none && len(chats) < limit; i = c.nodes[i].next {
-		if c.nodes[i].at >= c.doubtBefore {
+		if c.nodes[i].at >= since {
 			chats = append(chats, c.nodes[i].chat)
 		}
 	}
@@ -203,7 +204,16 @@
 // used first, for export before a planned stop.
 func (h *Home) WarmChats(engine fleet.EngineID, limit int) []fleet.ChatKey {
 	if e, ok := h.engines[engine]; ok {
-		return e.cache.recent(limit)
+		return e.cache.recent(e.cache.doubtBefore, limit)
+	}
+	return nil
+}
+
+// CachedChats returns at most limit chats that are warm or doubtful on an engine, most
+// recently used first.
+func (h *Home) CachedChats(engine fleet.EngineID, limit int) []fleet.ChatKey {
+	if e, ok := h.engines[engine]; ok {
+		return e.cache.recent(math.MinInt64, limit)
 	}
 	return nil
 }
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -28,6 +28,7 @@
 	moves  moveState
 	// placements remembers the chats that run elsewhere than on their first choice.
 	placements placements
+	announce   announceState
 	// announced is what the last heartbeats said.
 	announced admission.Counts
 	// peerPools holds the pool totals of other homes.
@@ -104,6 +105,7 @@
 	c.homes.admission.SetPeers(c.mono(), c.liveInRegion())
 	c.registerWithHomes(moved)
 	c.askAgain()
+	c.startAnnouncements(moved)
 	c.sendDecisions()
 }
 
@@ -397,4 +399,5 @@
 	c.sendDecisions()
 	c.tickProbes()
 	c.tickMoves()
+	c.tickAnnouncements()
 }
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -40,6 +40,11 @@
 	for id, service := range c.snapshot.Services {
 		c.pools[id] = c.buildPool(service, old)
 	}
+	for id, engine := range old {
+		if c.engines[id] == nil {
+			c.homes.announce.engineRemoved(engine)
+		}
+	}
 	c.markStops()
 }
 
