--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -211,10 +211,12 @@
 	}
 	span := s.plan.measured.Seconds()
 	r.bytes, r.store = make(map[wire.Kind]float64), make(map[string]float64)
+	total := 0
 	for kind, bytes := range s.meter.bytes {
 		r.bytes[kind] = float64(bytes) / span / n
-		r.totalBytes += r.bytes[kind]
+		total += bytes
 	}
+	r.totalBytes = float64(total) / span / n
 	for kind, calls := range s.meter.store {
 		r.store[kind] = float64(calls) / span
 	}
--- a/internal/bench/session.go
+++ b/internal/bench/session.go
@@ -97,8 +97,7 @@
 	s.Run(settle)
 	s.origin = s.Now()
 	end := p.warm + p.measured
-	rate := p.load * float64(p.size.slots()) / meanService().Seconds()
-	s.trace = newTrace(traceConfig{p.seed, p.size.customers, rate, end, p.surge})
+	s.trace = p.trace(end)
 	s.calls = make([]*harness.Call, len(s.trace))
 	s.arrive(0)
 	s.measure()
@@ -114,6 +113,23 @@
 	return s.result()
 }
 
+// trace returns a trace whose work, without the surge, fills the wanted share of the slots in
+// the measured time. A first trace gives the factor, since long pauses go beyond the end.
+func (p plan) trace(end time.Duration) []arrival {
+	c := traceConfig{seed: p.seed, customers: p.size.customers, end: end}
+	slots := float64(p.size.slots())
+	c.rate = p.load * slots / meanService().Seconds()
+	work := 0.0
+	for _, a := range newTrace(c) {
+		if a.at >= p.warm {
+			work += a.service().Seconds()
+		}
+	}
+	c.rate *= p.load * slots * p.measured.Seconds() / max(work, 1)
+	c.surge = p.surge
+	return newTrace(c)
+}
+
 func (s *session) addEngine(i, generation int) {
 	id := fleet.EngineID(fmt.Sprintf("engine-%d-%d", i, generation))
 	capacity := s.plan.size.capacity(i)
--- a/internal/bench/trace.go
+++ b/internal/bench/trace.go
@@ -141,6 +141,15 @@
 
 func customerID(i int) fleet.CustomerID { return fleet.CustomerID(fmt.Sprintf("c%d", i)) }
 
+// service is the expected time of a request on an engine.
+func (a arrival) service() time.Duration {
+	start := prefill
+	if a.returning {
+		start = warmPrefill
+	}
+	return start + time.Duration(a.tokens)*perToken
+}
+
 // meanService is the expected time of a request on an engine, with a third of the prompts cold.
 func meanService() time.Duration {
 	tokens := tokenMedian * math.Exp(tokenSigma*tokenSigma/2)
