--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,9 @@
 	$(GO) build -o $(BIN)/ ./internal/capacity/capacity
 	$(BIN)/capacity -bin $(BIN) -out $(BIN)/capacity.txt
 
+# Measures decisions in virtual time against baselines and updates docs/bench.md.
+bench:
+	$(GO) run ./internal/bench/bench
+
 clean:
 	rm -rf $(BIN) out
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -26,6 +26,9 @@
 	grants map[fleet.AttemptID]grant
 	probes map[fleet.EngineID]*probe
 	moves  moveState
+	// placements remembers the chats that run elsewhere than on their first choice.
+	placements placements
+	announce   announceState
 	// announced is what the last heartbeats said.
 	announced admission.Counts
 	// peerPools holds the pool totals of other homes.
@@ -45,6 +48,7 @@
 	h.probes = make(map[fleet.EngineID]*probe)
 	h.peerPools = make(map[fleet.InstanceID]map[fleet.ServiceID]wire.PoolTotal)
 	h.moves.init()
+	h.placements.init()
 	h.admission = c.newAdmission(config.DefaultLoadBound, config.DefaultQueueLength)
 }
 
@@ -101,6 +105,7 @@
 	c.homes.admission.SetPeers(c.mono(), c.liveInRegion())
 	c.registerWithHomes(moved)
 	c.askAgain()
+	c.startAnnouncements(moved)
 	c.sendDecisions()
 }
 
@@ -160,6 +165,7 @@
 		if !keep[id] {
 			c.homes.admission.Drop(c.mono(), id)
 			delete(c.homes.probes, id)
+			c.homes.placements.drop(id)
 		}
 	}
 	for id := range c.homes.homes {
@@ -234,6 +240,9 @@
 
 // admitRequested answers an entry's admission request.
 func (c *Core) admitRequested(from fleet.InstanceID, m *wire.Admit) {
+	if c.redirectPlaced(from, m) {
+		return
+	}
 	id := c.attemptIDFrom(from, m.Attempt)
 	customer := c.customer(m.Customer)
 	request := admission.Request{
@@ -246,6 +255,7 @@
 		Chat:        m.Chat,
 		Fingerprint: m.Fingerprint,
 		Engine:      m.Engine,
+		Movable:     !m.MayQueue && c.servesChats(m.Engine),
 		MayQueue:    m.MayQueue,
 		LastChoice:  m.LastChoice,
 	}
@@ -257,6 +267,12 @@
 	c.sendDecisions()
 }
 
+// servesChats reports whether an engine belongs to a chat service.
+func (c *Core) servesChats(id fleet.EngineID) bool {
+	engine := c.engines[id]
+	return engine != nil && engine.service.Kind == config.KindChat
+}
+
 // attemptIDFrom returns the fleet-wide id of an attempt of an entry.
 func (c *Core) attemptIDFrom(entry fleet.InstanceID, attempt uint64) fleet.AttemptID {
 	if entry == c.cfg.Instance {
@@ -395,4 +411,5 @@
 	c.sendDecisions()
 	c.tickProbes()
 	c.tickMoves()
+	c.tickAnnouncements()
 }
