ctl: read all pages of an instance's time line

Cause: an admin answer holds at most 8192 events, the oldest first. With timeline_events above that, timeline lacked the newest events.

Change: timeline asks again after the last event while pages are full.

Conclusion: rings of any size are shown whole.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	"github.com/bilberrywell/bilberrywell/internal/ctl"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/revision"
+	"github.com/bilberrywell/bilberrywell/timeline"
 )
 
 var update = flag.Bool("update", false, "rewrite golden files")
@@ -288,6 +290,25 @@
 	require.Contains(t, s.out, `"same_version": false`)
 }
 
+// Guards against a time line that lacks the newest events of a ring with several pages.
+func TestTimelineReadsAllPages(t *testing.T) {
+	s := newSession(t)
+	const total = 2*timeline.DefaultCapacity + 1
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.Atoi(r.URL.Query().Get("after"))
+		require.NoError(t, err)
+		page := []timeline.Event{}
+		for n := after + 1; n <= min(total, after+timeline.DefaultCapacity); n++ {
+			page = append(page, timeline.Event{Instance: "entry-1", Sequence: uint64(n), Kind: "ready"})
+		}
+		_ = json.NewEncoder(w).Encode(page)
+	}))
+	t.Cleanup(server.Close)
+	s.store.list = []platform.Instance{{ID: "entry-1", AdminAddr: strings.TrimPrefix(server.URL, "http://")}}
+	require.Equal(t, ctl.ExitOK, s.run("timeline"))
+	require.Equal(t, total, strings.Count(s.out, "\n"))
+}
+
 // Guards against a published version that every instance refuses and status passes over.
 func TestStatusShowsRefusedVersion(t *testing.T) {
 	s := newSession(t)
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -104,15 +104,33 @@
 		return nil, err
 	}
 	return each(ctx, list, func(ctx context.Context, i platform.Instance) timelineAnswer {
-		raw, err := client.Timeline(ctx, i.AdminAddr, 0)
-		if err != nil {
-			return timelineAnswer{i.ID, nil, err}
-		}
-		events, err := decodeEvents(raw)
+		events, err := readEvents(ctx, client, i.AdminAddr)
 		return timelineAnswer{i.ID, events, err}
 	}), nil
 }
 
+// readEvents reads an instance's events in pages: an answer holds the oldest ones that follow
+// a sequence number, at most timeline.DefaultCapacity, and a ring may keep more.
+func readEvents(ctx context.Context, client *adminapi.Client, addr string) ([]timeline.Event, error) {
+	var all []timeline.Event
+	after := uint64(0)
+	for {
+		raw, err := client.Timeline(ctx, addr, after)
+		if err != nil {
+			return nil, err
+		}
+		page, err := decodeEvents(raw)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < timeline.DefaultCapacity || page[len(page)-1].Sequence <= after {
+			return all, nil
+		}
+		after = page[len(page)-1].Sequence
+	}
+}
+
 // decodeEvents ignores fields that it doesn't know, which newer daemons may send.
 func decodeEvents(raw adminapi.Events) ([]timeline.Event, error) {
 	events := make([]timeline.Event, len(raw))
