daemon: hold smaller buffers per open stream

Cause: an open stream held 12 KB of read and write buffers on the engine's side, for events of some 200 bytes.

Change: 1 KB for events, 2 KB to read and 1 KB to write on engine connections. The refusal test covers a peer call without the secret.

--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrywell/bilberrywell/internal/fleettest"
+	"github.com/bilberrywell/bilberrywell/internal/peer"
 	"github.com/bilberrywell/bilberrywell/internal/standin/callersim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/enginesim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/servicesim"
@@ -66,6 +67,8 @@
 	}
 	status, _, _ := send(t, http.MethodPost, chat, chatBody, "Authorization", "Bearer "+fleettest.Key, "X-Long", strings.Repeat("x", 2*s.HeaderBytes))
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
+	status, _, _ = send(t, http.MethodGet, "http://"+s.PeerAddr+peer.Path, "")
+	require.Equal(t, http.StatusUnauthorized, status)
 	require.Empty(t, f.Engines[0].Log())
 	require.Empty(t, f.Services[0].Log().Runs)
 }
--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -22,8 +22,9 @@
 	maxAnswerBytes = 16 << 20
 	// maxEventBytes bounds one server-sent event.
 	maxEventBytes = 1 << 20
-	// streamBufferBytes is the read buffer of a stream. Events are small, and one buffer is held per open stream.
-	streamBufferBytes = 4 << 10
+	// streamBufferBytes is the read buffer of a stream. It holds several events of one token,
+	// and one buffer is held per open stream; longer events are put together from parts.
+	streamBufferBytes = 1 << 10
 	// callerWriteTimeout bounds one write to a caller that doesn't read.
 	callerWriteTimeout = 30 * time.Second
 
--- a/internal/daemon/plain.go
+++ b/internal/daemon/plain.go
@@ -15,6 +15,9 @@
 // maxRecordedBody is the largest answer body that is kept with a claim's outcome.
 const maxRecordedBody = 8 << 10
 
+// plainBufferBytes is the copy buffer of an answer.
+const plainBufferBytes = 4 << 10
+
 // hopByHop lists the headers that belong to one connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -89,7 +92,7 @@
 	if !p.d.ownAnswer(res, cmd) {
 		return wire.ResultBroken
 	}
-	buf := make([]byte, streamBufferBytes)
+	buf := make([]byte, plainBufferBytes)
 	reader := progressReader{r: res.Body, x: x}
 	for {
 		n, err := reader.Read(buf)
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -22,8 +22,10 @@
 	idleConnTimeout = 30 * time.Second
 	// idleConnsPerEngine bounds unused connections to one engine.
 	idleConnsPerEngine = 64
-	// upstreamBufferBytes is the size of the read and write buffers of a connection.
-	upstreamBufferBytes = 4 << 10
+	// upstreamReadBytes and upstreamWriteBytes are the sizes of the buffers of a connection,
+	// which are held as long as its stream is open. Parts larger than a buffer bypass it.
+	upstreamReadBytes  = 2 << 10
+	upstreamWriteBytes = 1 << 10
 )
 
 // errStalled reports an attempt without progress within its stall timeout.
@@ -51,8 +53,8 @@
 		MaxIdleConnsPerHost: idleConnsPerEngine,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-		WriteBufferSize:     upstreamBufferBytes,
-		ReadBufferSize:      upstreamBufferBytes,
+		WriteBufferSize:     upstreamWriteBytes,
+		ReadBufferSize:      upstreamReadBytes,
 	}
 }
 
