--- a/internal/capacity/capacity/main.go
+++ b/internal/capacity/capacity/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	bin := flag.String("bin", "bin", "directory of the daemon's binary")
-	parts := flag.String("parts", "events,memory,traffic,list,daemons", "parts to measure")
+	parts := flag.String("parts", "events,memory,traffic,failures,list,daemons", "parts to measure")
 	out := flag.String("out", "", "file to write the figures to as well")
 	flag.Parse()
 	w := io.Writer(os.Stdout)
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -18,6 +18,8 @@
 		Memory(w, growing(61, 122, 245, 490))
 	case "traffic":
 		return Traffic(w, []int{7, 15, 30, 60})
+	case "failures":
+		return Failures(w, []int{15, 30, 60})
 	case "list":
 		return ListReads(w, []int{61, 122, 245, 490})
 	case "daemons":
