demo, fleettest: take listener addresses outside the ephemeral range

Cause: a run of make demo failed because two daemons got the same address: it was free when the second was chosen, and one of the first three had been closed again. Any outgoing connection may also take such an address.

Change: all addresses of a fleet are reserved together, from ports 20000 to 31999, below the kernel's range for outgoing connections.

Conclusion: the cause seen is removed; another process may still take an address between its choice and its use.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,11 +15,15 @@
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/standin/simutil"
 )
 
 // instances is the number of entry instances of both deployments.
 const instances = 7
 
+// listeners is the number of listeners of an instance.
+const listeners = 3
+
 // router is what the driver sends traffic through.
 type router interface {
 	// bases returns the URLs of the instances.
@@ -54,11 +57,12 @@
 		return nil, oops.Wrap(err)
 	}
 	places := placesOf(example)
+	addrs, err := simutil.FreeAddrs(listeners * instances)
+	if err != nil {
+		return nil, err
+	}
 	for i := range instances {
-		s, err := d.settingsFor(i, places[i%len(places)])
-		if err != nil {
-			return nil, err
-		}
+		s := d.settingsFor(i, places[i%len(places)], addrs[listeners*i:])
 		if err := d.add(s); err != nil {
 			return nil, err
 		}
@@ -92,32 +96,13 @@
 	return places
 }
 
-func (d *daemons) settingsFor(i int, p place) (settings, error) {
-	addrs, err := freeAddrs(3)
-	if err != nil {
-		return settings{}, err
-	}
+func (d *daemons) settingsFor(i int, p place, addrs []string) settings {
 	return settings{
 		Instance:   fmt.Sprintf("entry-%d", i+1),
 		DataCentre: p.dataCentre, Region: p.region,
 		CallerAddr: addrs[0], PeerAddr: addrs[1], AdminAddr: addrs[2],
 		PlatformURL: d.world.PlatformURL, FleetSecretFile: d.secretFile(),
-	}, nil
-}
-
-// freeAddrs returns loopback addresses that were free a moment ago.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, n)
-	for i := range addrs {
-		listener, err := net.Listen("tcp", loopback)
-		if err != nil {
-			return nil, oops.Wrap(err)
-		}
-		// All listeners stay open until the end, so that no address comes twice.
-		defer func() { _ = listener.Close() }()
-		addrs[i] = listener.Addr().String()
 	}
-	return addrs, nil
 }
 
 func (d *daemons) add(s settings) error {
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -132,14 +131,14 @@
 // configureNodes picks addresses and returns the platform's list.
 func (f *Fleet) configureNodes(o Options) []platform.Instance {
 	var rows []platform.Instance
+	addrs, err := simutil.FreeAddrs(3 * o.Instances)
+	require.NoError(f.t, err)
 	for i := range o.Instances {
 		s := settings.Defaults()
 		s.Instance = fleet.InstanceID(fmt.Sprintf("instance-%d", i))
 		s.DataCentre = fleet.DataCentre(fmt.Sprintf("dc-%d", i%2))
 		s.Region = "region"
-		s.CallerAddr = freeAddr(f.t)
-		s.PeerAddr = freeAddr(f.t)
-		s.AdminAddr = freeAddr(f.t)
+		s.CallerAddr, s.PeerAddr, s.AdminAddr = addrs[3*i], addrs[3*i+1], addrs[3*i+2]
 		s.CallerAdvertise, s.PeerAdvertise, s.AdminAdvertise = s.CallerAddr, s.PeerAddr, s.AdminAddr
 		s.PlatformURL = f.platformURL
 		s.FleetSecret = settings.Secret("secret")
@@ -156,13 +155,6 @@
 	return rows
 }
 
-func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // StartNode starts a node's daemon.
 func (f *Fleet) StartNode(n *Node) {
 	d, err := daemon.New(n.Settings, "test")
