core: collect the instances of a region once for a status

Cause: a status looked up the home of each engine of other regions over a fresh list of instances, on the reducer's goroutine, where requests wait for it.

Change: a status collects the live instances once per region.

--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"github.com/bilberrywell/bilberrywell/affinity"
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/membership"
 )
@@ -53,7 +54,12 @@
 func (c *Core) peerStatus() []PeerStatus {
 	live := make(map[fleet.InstanceID]bool)
 	homes := make(map[fleet.InstanceID]bool)
+	regions := make(map[fleet.Region]bool)
 	for _, peer := range c.view.Peers() {
+		if regions[peer.Region] {
+			continue
+		}
+		regions[peer.Region] = true
 		for _, instance := range c.view.Live(peer.Region) {
 			live[instance.ID] = true
 		}
@@ -76,8 +82,9 @@
 
 func (c *Core) engineStatus() []EngineStatus {
 	list := make([]EngineStatus, 0, len(c.engines))
+	regions := make(map[fleet.Region]*affinity.HomeCache)
 	for id, engine := range c.engines {
-		row := EngineStatus{ID: id, Home: c.homeOf(engine), Draining: engine.stopped}
+		row := EngineStatus{ID: id, Home: c.homeIn(regions, engine), Draining: engine.stopped}
 		if status, ok := c.homes.admission.Status(id); ok {
 			row.InFlight, row.Bound, row.Queued = status.InFlight, status.Limit, status.Waiting
 		}
@@ -86,3 +93,14 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
 }
+
+// homeIn is homeOf with the live instances of a region collected once for all its engines.
+func (c *Core) homeIn(regions map[fleet.Region]*affinity.HomeCache, engine *engineInfo) fleet.InstanceID {
+	cache := regions[engine.Region]
+	if cache == nil {
+		cache = &affinity.HomeCache{}
+		cache.Update(c.homeCandidates(engine.Region))
+		regions[engine.Region] = cache
+	}
+	return cache.Home(engine.ID, engine.DataCentre)
+}
