Fix the seed of the property tests

Cause: rapid draws a new seed for each run, and verdicts must repeat. Change: the tests of membership and timeline set seed 1 unless a flag does. Conclusion: a failure of these tests can be repeated without its seed.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -20,6 +20,9 @@
 
 var update = flag.Bool("update", false, "rewrite golden files")
 
+// The seed of the property tests is fixed; the flag -rapid.seed overrides it.
+var _ = flag.Set("rapid.seed", "1")
+
 func instance(id, region string) membership.Instance {
 	return membership.Instance{ID: fleet.InstanceID(id), Region: fleet.Region(region)}
 }
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -16,6 +17,9 @@
 	"github.com/bilberrywell/bilberrywell/timeline"
 )
 
+// The seed of the property tests is fixed; the flag -rapid.seed overrides it.
+var _ = flag.Set("rapid.seed", "1")
+
 func Example() {
 	var entry, home timeline.Clock
 	entryRing, homeRing := timeline.NewRing(16), timeline.NewRing(16)
