core: move warm chats also for a stop that is active when published

Change: a configuration that brings a stop into force starts the moves. Before and after: TestActiveStopMovesWarmChats fails before and passes after. Conclusion: an urgent stop keeps caches warm as well.

--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -211,8 +211,10 @@
 	c.conf.peersAt = 0
 	c.count(CounterConfigAdopted, 1)
 	c.homes.admission.SetLimits(c.snapshot.Limits.LoadBound, c.snapshot.Limits.QueueLength)
+	stopped := c.stoppedEngines()
 	c.rebuildPools()
 	c.reassignHomes()
+	c.moveFromStopped(stopped)
 	c.updatePoolTotals()
 	c.configureRates()
 	c.configureDuties()
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -327,13 +327,12 @@
 	if c.snapshot == nil {
 		return
 	}
+	before := c.stoppedEngines()
 	if c.markStops() {
 		for _, id := range c.homes.owned {
 			c.homes.admission.SetDraining(c.mono(), id, c.engines[id].stopped)
-			if c.engines[id].stopped {
-				c.moveChats(id)
-			}
 		}
+		c.moveFromStopped(before)
 		c.sendDecisions()
 	}
 	for _, stop := range c.snapshot.Stops {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -40,6 +40,27 @@
 	c.tickMoves()
 }
 
+// stoppedEngines returns the engines that a planned stop covers.
+func (c *Core) stoppedEngines() map[fleet.EngineID]bool {
+	stopped := make(map[fleet.EngineID]bool)
+	for id, engine := range c.engines {
+		if engine.stopped {
+			stopped[id] = true
+		}
+	}
+	return stopped
+}
+
+// moveFromStopped moves the warm chats of this home's engines whose stop has just begun. A
+// stop may begin with the configuration that declares it.
+func (c *Core) moveFromStopped(before map[fleet.EngineID]bool) {
+	for _, id := range c.homes.owned {
+		if c.engines[id].stopped && !before[id] {
+			c.moveChats(id)
+		}
+	}
+}
+
 // tickMoves starts moves up to the limit. Moves from engines that run again are dropped.
 func (c *Core) tickMoves() {
 	m := &c.homes.moves
