daemon: bound every drain by the drain deadline

Cause: a drain by bilberryctl or by a planned stop waited for streams without end; only a signal started the deadline. Change: the reducer reports the start of a drain, which starts the deadline. The version goes into the binaries. Conclusion: all ways into a drain end the same way.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 # Targets for development, continuous integration and measurement.
 GO ?= go
 BIN := bin
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
 .PHONY: build test fmt vet staticcheck unit demo bench capacity clean
 
 build:
-	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
 fmt:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -17,6 +17,7 @@
 	c.drain.active = true
 	c.drain.since = c.mono()
 	c.emit(Record{Kind: "draining"})
+	c.emit(DrainStarted{})
 	c.updateReady()
 	c.releaseDuties()
 	c.applyChanges(c.view.SetDraining(c.mono(), true))
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -155,6 +155,9 @@
 // SetReady reports whether the instance takes callers.
 type SetReady struct{ Ready bool }
 
+// DrainStarted reports the start of a drain, by signal, by an operator or by a planned stop.
+type DrainStarted struct{}
+
 // Drained reports that no request is in flight and duties are handed over.
 type Drained struct{}
 
@@ -192,6 +195,7 @@
 func (MoveChat) effect()        {}
 func (ConfigInForce) effect()   {}
 func (SetReady) effect()        {}
+func (DrainStarted) effect()    {}
 func (Drained) effect()         {}
 func (Count) effect()           {}
 func (Record) effect()          {}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,8 @@
 	version   atomic.Uint64
 	publishID atomic.Pointer[string]
 	ready     atomic.Bool
+	draining  chan struct{}
+	drainOnce sync.Once
 	drained   chan struct{}
 	aborted   chan struct{}
 }
@@ -65,6 +68,7 @@
 		requests:    newRequests(),
 		upstreams:   newUpstreams(),
 		metrics:     newDaemonMetrics(),
+		draining:    make(chan struct{}),
 		drained:     make(chan struct{}),
 		aborted:     make(chan struct{}),
 	}
@@ -174,7 +178,7 @@
 	select {
 	case <-ctx.Done():
 		d.loop.post(core.DrainRequested{})
-	case <-d.drained:
+	case <-d.draining:
 	case <-d.aborted:
 		d.abort(servers)
 		return nil
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -41,6 +41,8 @@
 		d.configInForce(e)
 	case core.SetReady:
 		d.setReady(e.Ready)
+	case core.DrainStarted:
+		d.drainOnce.Do(func() { close(d.draining) })
 	case core.Drained:
 		close(d.drained)
 	default:
