settings: remove stream_stall_timeout, which nothing used

Cause: the service's stall_timeout applies; the setting had no effect. Conclusion: one place for the value.

--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -143,7 +143,6 @@
 		s.PlatformURL = f.platformURL
 		s.FleetSecret = settings.Secret("secret")
 		s.BalancerGrace = 100 * time.Millisecond
-		s.StreamStallTimeout = time.Second
 		if o.Adjust != nil {
 			o.Adjust(&s)
 		}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -92,7 +92,6 @@
 		"balancer_grace":                  l.duration("balancer_grace", &s.BalancerGrace, 0, time.Minute),
 		"takeover_window":                 l.duration("takeover_window", &s.TakeoverWindow, 100*time.Millisecond, time.Minute),
 		"heartbeat_interval":              l.duration("heartbeat_interval", &s.HeartbeatInterval, 50*time.Millisecond, time.Minute),
-		"stream_stall_timeout":            l.duration("stream_stall_timeout", &s.StreamStallTimeout, 100*time.Millisecond, 10*time.Minute),
 		"header_timeout":                  l.duration("header_timeout", &s.HeaderTimeout, 100*time.Millisecond, time.Minute),
 		"idle_timeout":                    l.duration("idle_timeout", &s.IdleTimeout, time.Second, time.Hour),
 		"rewalk":                          l.duration("rewalk", &s.Rewalk, 10*time.Millisecond, 10*time.Second),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,8 +57,6 @@
 	HeartbeatInterval time.Duration
 	// ControlBytesPerSecond is the budget for messages to peers and probes.
 	ControlBytesPerSecond int
-	// StreamStallTimeout is the longest time without progress on a stream.
-	StreamStallTimeout time.Duration
 	// RequestBodyBytes, HeaderTimeout, HeaderBytes and IdleTimeout limit callers.
 	RequestBodyBytes int
 	HeaderTimeout    time.Duration
@@ -83,7 +81,6 @@
 		TakeoverShare:         0.25,
 		HeartbeatInterval:     time.Second,
 		ControlBytesPerSecond: 12288,
-		StreamStallTimeout:    5 * time.Second,
 		RequestBodyBytes:      4 << 20,
 		HeaderTimeout:         5 * time.Second,
 		HeaderBytes:           64 << 10,
