fleettest: test that a drain by an operator ends at its deadline

Cause: the fix of the drain deadline had no test. Change: a daemon with a stream of minutes and a deadline of 300 ms is drained through its admin listener. Conclusion: covered.

--- a/internal/fleettest/path_test.go
+++ b/internal/fleettest/path_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrywell/bilberrywell/internal/adminapi"
 	"github.com/bilberrywell/bilberrywell/internal/standin/callersim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/enginesim"
 )
@@ -38,3 +40,24 @@
 	require.Equal(t, callersim.OK, again.Kind, again.Detail)
 	require.Equal(t, 1, f.Services[0].Log().Counts["key-0"])
 }
+
+// Guards against a drain by an operator that waits for a long stream without end.
+func TestAdminDrainEndsAtItsDeadline(t *testing.T) {
+	f := Start(t, Options{Instances: 1, Engines: 1, Engine: enginesim.Options{TokensPerSecond: 2}})
+	node := f.Nodes[0]
+	f.StopNode(node)
+	node.Settings.DrainDeadline = 300 * time.Millisecond
+	f.StartNode(node)
+	f.AwaitReady()
+	request := chatOf("a long answer", true)
+	request.MaxTokens = 1000
+	go f.Client(node).Chat(context.Background(), "long", request)
+	require.Eventually(t, func() bool { return f.Engines[0].InFlight() == 1 }, Patience, 5*time.Millisecond)
+	client := adminapi.Client{Secret: string(node.Settings.FleetSecret)}
+	require.NoError(t, client.Drain(context.Background(), node.Settings.AdminAddr))
+	select {
+	case <-node.done:
+	case <-time.After(Patience):
+		t.Fatal("the drain did not end")
+	}
+}
