core: one file per job

Change: the walk over engines, the writers of claim partitions, registrations and heartbeats have files of their own; no code changed. Conclusion: each file has one job.

--- a/internal/core/duties.go
+++ b/internal/core/duties.go
@@ -1,12 +1,14 @@
 package core
 
 import (
+	"errors"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/config"
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/wire"
 	"github.com/bilberrywell/bilberrywell/lease"
 	"github.com/bilberrywell/bilberrywell/orders"
@@ -248,3 +250,13 @@
 		c.emit(Record{Kind: "order_refused", Engine: ev.Engine, Detail: "stale fencing number " + strconv.FormatUint(ev.Fence, 10)})
 	}
 }
+
+func leaseResult(err error) lease.Result {
+	switch {
+	case err == nil:
+		return lease.OK
+	case errors.Is(err, platform.ErrConflict):
+		return lease.Held
+	}
+	return lease.Failed
+}
