--- a/internal/ctl/instances.go
+++ b/internal/ctl/instances.go
@@ -23,6 +23,9 @@
 	parallelCalls = 32
 	// instanceTimeout bounds one admin call, so that a silent instance does not hold up the rest.
 	instanceTimeout = 2 * time.Second
+	// ringTimeout bounds the read of one instance's whole time line, which may have several
+	// pages of megabytes.
+	ringTimeout = 30 * time.Second
 )
 
 // instances returns the platform's list sorted by ID.
@@ -40,9 +43,14 @@
 
 // each calls f for each instance in parallel and returns the results in order.
 func each[T any](ctx context.Context, list []platform.Instance, f func(context.Context, platform.Instance) T) []T {
+	return eachWithin(ctx, instanceTimeout, list, f)
+}
+
+// eachWithin is each with another limit for one call of f.
+func eachWithin[T any](ctx context.Context, limit time.Duration, list []platform.Instance, f func(context.Context, platform.Instance) T) []T {
 	mapper := iter.Mapper[platform.Instance, T]{MaxGoroutines: parallelCalls}
 	return mapper.Map(list, func(i *platform.Instance) T {
-		bounded, cancel := context.WithTimeout(ctx, instanceTimeout)
+		bounded, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		return f(bounded, *i)
 	})
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return each(ctx, list, func(ctx context.Context, i platform.Instance) timelineAnswer {
+	return eachWithin(ctx, ringTimeout, list, func(ctx context.Context, i platform.Instance) timelineAnswer {
 		events, err := readEvents(ctx, client, i.AdminAddr)
 		return timelineAnswer{i.ID, events, err}
 	}), nil
