core: ask for registrations after a takeover and pass over homes without a link

Cause: after a home was killed, requests were slow for 9.7 s. Entries that noticed the silence first registered with the new home before it knew that it was the home, so that it kept its reduced share for the whole takeover window; until then entries asked the dead home and waited for 500 ms each. Change: a new home asks the entries for their registrations; engines whose home has no open link are passed over.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -189,6 +189,8 @@
 		c.grantReleased(from, m)
 	case *wire.Register:
 		c.attemptsRegistered(from, m)
+	case *wire.RegisterAsk:
+		c.registrationAsked(from, m)
 	case *wire.RegisterDone:
 		c.registrationDone(from, m)
 	case *wire.RateRequest:
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -89,6 +89,7 @@
 	ids := c.regionEngines()
 	moved := make(map[fleet.InstanceID][]fleet.EngineID)
 	owned := c.homes.owned[:0:0]
+	var adopted []fleet.EngineID
 	for _, id := range ids {
 		engine := c.engines[id]
 		home := c.homes.cache.Home(id, engine.DataCentre)
@@ -97,6 +98,9 @@
 		if home == c.cfg.Instance {
 			owned = append(owned, id)
 			c.adoptEngine(engine, before)
+			if before != home {
+				adopted = append(adopted, id)
+			}
 		}
 		if home != before && home != "" {
 			moved[home] = append(moved[home], id)
@@ -106,6 +110,9 @@
 	c.homes.owned = owned
 	c.homes.admission.SetPeers(c.mono(), c.liveInRegion())
 	c.registerWithHomes(moved)
+	if len(adopted) > 0 {
+		c.broadcast(&wire.RegisterAsk{Engines: adopted})
+	}
 	c.askAgain()
 	c.startAnnouncements(moved)
 	c.sendDecisions()
--- a/internal/core/registrations.go
+++ b/internal/core/registrations.go
@@ -135,6 +135,20 @@
 	c.homes.admission.Register(c.mono(), from, list)
 }
 
+// registrationAsked repeats the registrations for engines of which this instance, too, takes
+// the sender for the home. For the others it registers once its own view changes.
+func (c *Core) registrationAsked(from fleet.InstanceID, m *wire.RegisterAsk) {
+	var engines []fleet.EngineID
+	for _, id := range m.Engines {
+		if c.homes.homes[id] == from {
+			engines = append(engines, id)
+		}
+	}
+	if len(engines) > 0 {
+		c.registerWithHomes(map[fleet.InstanceID][]fleet.EngineID{from: engines})
+	}
+}
+
 func (c *Core) registrationDone(from fleet.InstanceID, m *wire.RegisterDone) {
 	c.dropUnkept(from, m)
 	if len(m.Engines) > 0 {
--- a/internal/core/walk.go
+++ b/internal/core/walk.go
@@ -43,14 +43,28 @@
 		r.next = 0
 		r.mayQueue = true
 	}
+	for r.next < len(r.choices) && !c.reachable(r.choices[r.next]) {
+		r.next++
+	}
+	if r.next >= len(r.choices) {
+		c.pause(r, c.jitter(c.cfg.Rewalk), thenAdmit)
+		return
+	}
 	engine := r.choices[r.next]
 	r.next++
 	c.ask(r, engine)
 }
 
+// reachable reports whether an engine's home can be asked. A home whose link is down is most
+// likely gone; until its silence is long enough for another home, its engines are passed over.
+func (c *Core) reachable(engine *engineInfo) bool {
+	home := c.homeOf(engine)
+	return home == c.cfg.Instance || c.isLinked(home)
+}
+
 // skip reports whether asking an engine is known to be useless.
 func (c *Core) skip(r *request, engine *engineInfo) bool {
-	if engine.stopped || slices.Contains(r.avoid, engine.ID) || engine.ID == r.placed {
+	if engine.stopped || !c.reachable(engine) || slices.Contains(r.avoid, engine.ID) || engine.ID == r.placed {
 		return true
 	}
 	// A saturated first choice is asked all the same: its home may know where the chat is warm.
@@ -60,10 +74,6 @@
 // ask sends an admission request for an engine to its home.
 func (c *Core) ask(r *request, engine *engineInfo) {
 	home := c.homeOf(engine)
-	if home == "" {
-		c.pause(r, c.jitter(admitTimeout), thenAdmit)
-		return
-	}
 	c.entry.lastAttempt++
 	r.attempt = c.entry.lastAttempt
 	c.entry.byAttempt[r.attempt] = r
--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -20,7 +20,7 @@
 func classOf(kind wire.Kind) class {
 	switch kind {
 	case wire.KindAdmit, wire.KindAdmitReply, wire.KindCancelAdmit, wire.KindRelease,
-		wire.KindRegister, wire.KindRegisterDone, wire.KindRateRequest, wire.KindRateGrant, wire.KindPlaced:
+		wire.KindRegister, wire.KindRegisterDone, wire.KindRegisterAsk, wire.KindRateRequest, wire.KindRateGrant, wire.KindPlaced:
 		return classAdmission
 	case wire.KindClaimRequest, wire.KindClaimReply, wire.KindClaimFinish:
 		return classClaims
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -66,6 +66,9 @@
 // Kind implements Message.
 func (*Placed) Kind() Kind { return KindPlaced }
 
+// Kind implements Message.
+func (*RegisterAsk) Kind() Kind { return KindRegisterAsk }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -113,6 +116,8 @@
 		return &Stamp{}
 	case KindPlaced:
 		return &Placed{}
+	case KindRegisterAsk:
+		return &RegisterAsk{}
 	}
 	return nil
 }
@@ -164,6 +169,8 @@
 		return "stamp"
 	case KindPlaced:
 		return "placed"
+	case KindRegisterAsk:
+		return "register_ask"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -34,6 +34,7 @@
 	KindCancelAdmit    Kind = 20
 	KindStamp          Kind = 21
 	KindPlaced         Kind = 22
+	KindRegisterAsk    Kind = 23
 )
 
 // Hello is the first message on a link, in both directions.
@@ -174,6 +175,12 @@
 	Attempts []RunningAttempt `cbor:"2,keyasint"`
 }
 
+// RegisterAsk asks an entry for its registrations. A new home sends it, because entries may
+// have registered before it knew that it is the home.
+type RegisterAsk struct {
+	Engines []fleet.EngineID `cbor:"1,keyasint"`
+}
+
 // RegisterDone tells that the sender has registered all its attempts for the engines that
 // the receiver is home of. Of the attempts up to Through, only those in Keep still run or
 // wait there; messages about the others were lost with a link.
