--- a/internal/capacity/events.go
+++ b/internal/capacity/events.go
@@ -97,15 +97,12 @@
 func (s *solo) request() {
 	s.sent = s.sent[:0]
 	s.last++
+	s.now += time.Duration(float64(time.Second) / requestRate(s))
 	s.step(core.RequestArrived{Request: s.last, Call: core.Call{
 		Customer: fleet.CustomerID(fmt.Sprintf("c%d", int(s.last)%s.size.Customers)), Service: "model-0",
 		Chat: fleet.ChatKey(fleet.Hash("chat", fmt.Sprint(s.last%100_000))), Fingerprint: fleet.Fingerprint(s.last),
 	}})
-	// Answers make the reducer send more messages, which are answered in turn.
-	for i := 0; i < len(s.sent); i++ {
-		s.answer(s.sent[i])
-	}
-	started, ok := s.started[s.last]
+	started, ok := s.awaitStart()
 	if !ok {
 		panic("capacity: a request was not started")
 	}
@@ -115,6 +112,26 @@
 	s.homePart()
 }
 
+// rateTicks bounds the wait for rate tokens: an owner of a customer starts with an empty account.
+const rateTicks = 100
+
+// awaitStart answers the messages that a request needs until its attempt starts.
+func (s *solo) awaitStart() (core.StartAttempt, bool) {
+	answered := 0
+	for range rateTicks {
+		// Answers make the reducer send more messages, which are answered in turn.
+		for ; answered < len(s.sent); answered++ {
+			s.answer(s.sent[answered])
+		}
+		if started, ok := s.started[s.last]; ok {
+			return started, true
+		}
+		s.now += 10 * time.Millisecond
+		s.step(core.Tick{})
+	}
+	return core.StartAttempt{}, false
+}
+
 // answer plays the peer that a request's message goes to.
 func (s *solo) answer(m core.SendMessage) {
 	switch ask := m.Message.(type) {
