Remove what nothing uses and join what stood twice

Cause: a read of the whole change. Change: chats and plain calls share one exchange under the stall watch; registrations on a new link and on request are one function. Gone are the message kinds 14 and 20, whose numbers stay reserved, the engine incarnation that each grant carried and no entry read, the code forbidden, four fields that were only written, and a filter of totals that are deleted with their link anyway. Left for later: an entry that is redirected to the engine where a chat was placed does not check that its home has an open link, and waits 500 ms if it has none. Conclusion: behaviour is as before.

--- a/internal/core/codes.go
+++ b/internal/core/codes.go
@@ -6,7 +6,6 @@
 	CodeQuarantined    = "quarantined"
 	CodeKeyReused      = "idempotency_key_reused"
 	CodeUnknownService = "unknown_service"
-	CodeForbidden      = "forbidden"
 	CodeOverloaded     = "overloaded"
 	CodeNoEngine       = "no_engine"
 	CodeNotReady       = "not_ready"
--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -179,13 +179,13 @@
 		return
 	}
 	for _, digest := range digests {
-		o := c.ops.add(op{kind: opBlob, digest: digest})
+		o := c.ops.add(op{kind: opBlob})
 		c.emit(StoreGet{Op: o, Key: revision.BlobKey(digest)})
 	}
 }
 
 // blobRead takes a file from the platform. A failed read is repeated with the next read of the head.
-func (c *Core) blobRead(_ string, ev StoreReply) {
+func (c *Core) blobRead(ev StoreReply) {
 	if ev.Err != nil {
 		c.conf.nextRead = min(c.conf.nextRead, c.mono()+c.jitter(storeBackoff))
 		c.conf.revision = 0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -181,8 +181,6 @@
 		c.admitRequested(from, m)
 	case *wire.AdmitReply:
 		c.admitReplied(from, m)
-	case *wire.CancelAdmit:
-		c.admitCanceled(from, m)
 	case *wire.Placed:
 		c.homes.placements.add(m.First, m.Chat, m.Engine)
 	case *wire.Release:
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -64,12 +64,11 @@
 	// walks counts the times that all choices were asked.
 	walks int
 
-	attempt     uint64
-	engine      *engineInfo
-	home        fleet.InstanceID
-	incarnation uint64
-	queued      bool
-	started     int
+	attempt uint64
+	engine  *engineInfo
+	home    fleet.InstanceID
+	queued  bool
+	started int
 	// avoid lists engines that refused or lost an attempt.
 	avoid []fleet.EngineID
 	// losses counts the attempts that may have run without a whole answer.
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -252,7 +252,6 @@
 	switch d.Kind {
 	case admission.Granted:
 		m.Decision = wire.DecisionGranted
-		m.EngineIncarnation = c.engineIncarnation(d.Engine)
 	case admission.Queued:
 		m.Decision = wire.DecisionQueued
 	case admission.Redirect:
@@ -267,10 +266,6 @@
 	c.send(g.entry, m)
 }
 
-func (c *Core) admitCanceled(from fleet.InstanceID, m *wire.CancelAdmit) {
-	c.grantReleased(from, &wire.Release{Attempt: m.Attempt, Engine: m.Engine, Result: wire.ResultNotRun})
-}
-
 // grantReleased returns a grant. A broken attempt makes the home look at the engine at once.
 func (c *Core) grantReleased(from fleet.InstanceID, m *wire.Release) {
 	id := c.attemptIDFrom(from, m.Attempt)
@@ -307,15 +302,12 @@
 	c.sendDecisions()
 }
 
-// updatePoolTotals gives the admission of this home the totals of the others. Homes without
-// an open link are left out with their load and capacity: their totals are out of date, and
-// their engines get no work until they have a new home.
+// updatePoolTotals gives the admission of this home the totals of the others. They are kept
+// for linked homes only: without a link totals are out of date, and the engines get no work
+// until they have a new home.
 func (c *Core) updatePoolTotals() {
 	sums := make(map[fleet.ServiceID]wire.PoolTotal)
-	for peer, totals := range c.homes.peerPools {
-		if !c.isLinked(peer) {
-			continue
-		}
+	for _, totals := range c.homes.peerPools {
 		for id, total := range totals {
 			sum := sums[id]
 			sum.InFlight += total.InFlight
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -38,8 +38,7 @@
 
 // memberState is the state of the membership role.
 type memberState struct {
-	listed      bool
-	listPending bool
+	listed bool
 	// listReads counts the answered reads of the list.
 	listReads int
 	nextList  time.Duration
@@ -78,7 +77,6 @@
 
 // instanceList takes the platform's list of instances. Rows without this instance are kept: the list lags.
 func (c *Core) instanceList(ev InstanceList) {
-	c.members.listPending = false
 	c.members.nextList = c.mono() + c.jitter(c.nextListInterval(len(ev.Rows)))
 	if ev.Err != nil {
 		c.count(CounterStoreErrors, 1)
@@ -181,7 +179,8 @@
 	c.fillHeartbeat(beat, c.homes.admission.Counts())
 	c.send(ev.Instance, beat)
 	c.sendStrikes(ev.Instance)
-	c.sendRegistrations(ev.Instance)
+	// The link may have been down when the peer took its engines.
+	c.registerOwned(ev.Instance, c.regionEngines())
 }
 
 // sendStrikes tells a new peer which fingerprints have strikes.
@@ -197,17 +196,6 @@
 	}
 }
 
-// sendRegistrations repeats the registrations of a home whose link was down when it took its engines.
-func (c *Core) sendRegistrations(to fleet.InstanceID) {
-	engines := make(map[fleet.InstanceID][]fleet.EngineID)
-	for _, id := range c.regionEngines() {
-		if c.homes.homes[id] == to {
-			engines[to] = append(engines[to], id)
-		}
-	}
-	c.registerWithHomes(engines)
-}
-
 // peerDown forgets a peer's pool totals with its link. Totals of a killed home would go on
 // raising the bounds of the other engines while the load of its own engines falls. A peer
 // repeats complete totals when its link opens again.
@@ -248,7 +236,6 @@
 	if c.mono() < c.members.nextList {
 		return
 	}
-	c.members.listPending = true
 	c.members.nextList = c.mono() + listSilence
 	c.emit(ListInstances{})
 }
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -20,7 +20,6 @@
 	kind      opKind
 	partition int
 	call      uint64
-	digest    string
 }
 
 // opTable matches answers of the key-value service with calls.
@@ -55,7 +54,7 @@
 	case opHead, opWatch:
 		c.headRead(o.kind, ev)
 	case opBlob:
-		c.blobRead(o.digest, ev)
+		c.blobRead(ev)
 	case opClaimRead, opClaimSwap:
 		c.claimAnswer(o, ev)
 	}
--- a/internal/core/probes.go
+++ b/internal/core/probes.go
@@ -27,7 +27,6 @@
 	down        bool
 	incarnation uint64
 	cacheSeq    uint64
-	report      EngineReport
 	// broken lists attempts that broke off a short time ago.
 	broken []brokenAttempt
 }
@@ -37,13 +36,6 @@
 	fingerprint fleet.Fingerprint
 }
 
-func (c *Core) engineIncarnation(id fleet.EngineID) uint64 {
-	if p := c.homes.probes[id]; p != nil {
-		return p.incarnation
-	}
-	return 0
-}
-
 // tickProbes probes the engines of this home that are due.
 func (c *Core) tickProbes() {
 	for _, id := range c.homes.owned {
@@ -106,7 +98,6 @@
 	}
 	p.down = false
 	p.incarnation = ev.Incarnation
-	p.report = ev
 	c.pruneBroken(p)
 	c.reportEngineState(ev)
 }
--- a/internal/core/registrations.go
+++ b/internal/core/registrations.go
@@ -138,14 +138,19 @@
 // registrationAsked repeats the registrations for engines of which this instance, too, takes
 // the sender for the home. For the others it registers once its own view changes.
 func (c *Core) registrationAsked(from fleet.InstanceID, m *wire.RegisterAsk) {
+	c.registerOwned(from, m.Engines)
+}
+
+// registerOwned registers with a home for those of the given engines that it is home of.
+func (c *Core) registerOwned(home fleet.InstanceID, ids []fleet.EngineID) {
 	var engines []fleet.EngineID
-	for _, id := range m.Engines {
-		if c.homes.homes[id] == from {
+	for _, id := range ids {
+		if c.homes.homes[id] == home {
 			engines = append(engines, id)
 		}
 	}
 	if len(engines) > 0 {
-		c.registerWithHomes(map[fleet.InstanceID][]fleet.EngineID{from: engines})
+		c.registerWithHomes(map[fleet.InstanceID][]fleet.EngineID{home: engines})
 	}
 }
 
--- a/internal/core/walk.go
+++ b/internal/core/walk.go
@@ -123,7 +123,6 @@
 	}
 	switch m.Decision {
 	case wire.DecisionGranted:
-		r.incarnation = m.EngineIncarnation
 		c.start(r)
 	case wire.DecisionQueued:
 		c.count(CounterQueued, 1)
--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -69,25 +69,21 @@
 	if !c.stream {
 		timeout = c.timeout
 	}
-	exchangeCtx, x := newExchange(ctx, timeout)
-	defer x.close()
 	// The chunks of another engine have another id.
 	c.template = chunkTemplate{}
-	end := core.AttemptEnded{Request: cmd.Request, Attempt: cmd.Attempt}
-	res, err := c.send(exchangeCtx, cmd)
-	if err != nil {
-		end.Result = resultOf(ctx, x, err)
-	} else {
-		defer res.Body.Close()
-		x.progress()
+	result := exchangeOnce(ctx, timeout, cmd, c.send, func(res *http.Response, x *exchange) wire.Result {
 		firstByte()
-		end.Result = c.receive(ctx, res, cmd, x)
+		return c.receive(ctx, res, cmd, x)
+	})
+	c.d.afterAttempt(cmd, result)
+	return core.AttemptEnded{
+		Request:   cmd.Request,
+		Attempt:   cmd.Attempt,
+		Result:    result,
+		Delivered: c.started,
+		Resumable: c.stream,
+		Cached:    c.cached,
 	}
-	end.Delivered = c.started
-	end.Resumable = c.stream
-	end.Cached = c.cached
-	c.d.afterAttempt(cmd, end.Result)
-	return end
 }
 
 func (c *chatResponder) send(ctx context.Context, cmd core.StartAttempt) (*http.Response, error) {
--- a/internal/daemon/errors.go
+++ b/internal/daemon/errors.go
@@ -66,8 +66,6 @@
 		return http.StatusUnprocessableEntity
 	case core.CodeUnknownService:
 		return http.StatusNotFound
-	case core.CodeForbidden:
-		return http.StatusForbidden
 	}
 	if f.Kind == core.FailureNotRun {
 		return http.StatusServiceUnavailable
--- a/internal/daemon/plain.go
+++ b/internal/daemon/plain.go
@@ -47,22 +47,21 @@
 		// The call goes on without its caller, so that a resend finds the recorded answer.
 		ctx = context.WithoutCancel(ctx)
 	}
-	exchangeCtx, x := newExchange(ctx, p.timeout)
-	defer x.close()
-	end := core.AttemptEnded{Request: cmd.Request, Attempt: cmd.Attempt}
-	res, err := p.send(exchangeCtx, cmd)
-	if err != nil {
-		end.Result = resultOf(ctx, x, err)
-	} else {
-		defer res.Body.Close()
-		x.progress()
+	var outcome *wire.Outcome
+	result := exchangeOnce(ctx, p.timeout, cmd, p.send, func(res *http.Response, x *exchange) wire.Result {
 		firstByte()
-		end.Result = p.receive(ctx, res, cmd, x)
-		end.Outcome = p.outcome(res, end.Result)
+		result := p.receive(ctx, res, cmd, x)
+		outcome = p.outcome(res, result)
+		return result
+	})
+	p.d.afterAttempt(cmd, result)
+	return core.AttemptEnded{
+		Request:   cmd.Request,
+		Attempt:   cmd.Attempt,
+		Result:    result,
+		Delivered: p.started,
+		Outcome:   outcome,
 	}
-	end.Delivered = p.started
-	p.d.afterAttempt(cmd, end.Result)
-	return end
 }
 
 func (p *plainResponder) send(ctx context.Context, cmd core.StartAttempt) (*http.Response, error) {
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/core"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
 )
 
 const (
@@ -124,6 +126,26 @@
 	return httptrace.WithClientTrace(ctx, trace), x
 }
 
+// exchangeOnce sends one request to an engine under a stall watch and hands the answer to
+// receive. It returns how the attempt ended.
+func exchangeOnce(
+	ctx context.Context,
+	timeout time.Duration,
+	cmd core.StartAttempt,
+	send func(context.Context, core.StartAttempt) (*http.Response, error),
+	receive func(*http.Response, *exchange) wire.Result,
+) wire.Result {
+	watched, x := newExchange(ctx, timeout)
+	defer x.close()
+	res, err := send(watched, cmd)
+	if err != nil {
+		return resultOf(ctx, x, err)
+	}
+	defer res.Body.Close()
+	x.progress()
+	return receive(res, x)
+}
+
 // progress restarts the stall watch.
 func (x *exchange) progress() { x.watch.Reset(x.timeout) }
 
--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -19,12 +19,12 @@
 // waits for them. Unknown kinds are served last.
 func classOf(kind wire.Kind) class {
 	switch kind {
-	case wire.KindAdmit, wire.KindAdmitReply, wire.KindCancelAdmit, wire.KindRelease,
+	case wire.KindAdmit, wire.KindAdmitReply, wire.KindRelease,
 		wire.KindRegister, wire.KindRegisterDone, wire.KindRegisterAsk, wire.KindRateRequest, wire.KindRateGrant, wire.KindPlaced:
 		return classAdmission
 	case wire.KindClaimRequest, wire.KindClaimReply, wire.KindClaimFinish:
 		return classClaims
-	case wire.KindStrike, wire.KindQuarantine:
+	case wire.KindStrike:
 		return classQuarantine
 	case wire.KindConfigRequest, wire.KindConfigManifest, wire.KindBlobRequest, wire.KindBlob,
 		wire.KindEngineState:
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -39,9 +39,6 @@
 // Kind implements Message.
 func (*Strike) Kind() Kind { return KindStrike }
 
-// Kind implements Message.
-func (*Quarantine) Kind() Kind { return KindQuarantine }
-
 // Kind implements Message.
 func (*ConfigRequest) Kind() Kind { return KindConfigRequest }
 
@@ -57,9 +54,6 @@
 // Kind implements Message.
 func (*EngineState) Kind() Kind { return KindEngineState }
 
-// Kind implements Message.
-func (*CancelAdmit) Kind() Kind { return KindCancelAdmit }
-
 // Kind implements Message.
 func (*Stamp) Kind() Kind { return KindStamp }
 
@@ -98,8 +92,6 @@
 		return &ClaimFinish{}
 	case KindStrike:
 		return &Strike{}
-	case KindQuarantine:
-		return &Quarantine{}
 	case KindConfigRequest:
 		return &ConfigRequest{}
 	case KindConfigManifest:
@@ -110,8 +102,6 @@
 		return &Blob{}
 	case KindEngineState:
 		return &EngineState{}
-	case KindCancelAdmit:
-		return &CancelAdmit{}
 	case KindStamp:
 		return &Stamp{}
 	case KindPlaced:
@@ -151,8 +141,6 @@
 		return "claim_finish"
 	case KindStrike:
 		return "strike"
-	case KindQuarantine:
-		return "quarantine"
 	case KindConfigRequest:
 		return "config_request"
 	case KindConfigManifest:
@@ -163,8 +151,6 @@
 		return "blob"
 	case KindEngineState:
 		return "engine_state"
-	case KindCancelAdmit:
-		return "cancel_admit"
 	case KindStamp:
 		return "stamp"
 	case KindPlaced:
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -10,7 +10,7 @@
 // Kind identifies a message type. Values are part of the protocol and are never reused.
 type Kind uint8
 
-// Message kinds.
+// Message kinds. 14 and 20 are reserved.
 const (
 	KindHello          Kind = 1
 	KindHeartbeat      Kind = 2
@@ -25,13 +25,11 @@
 	KindClaimReply     Kind = 11
 	KindClaimFinish    Kind = 12
 	KindStrike         Kind = 13
-	KindQuarantine     Kind = 14
 	KindConfigRequest  Kind = 15
 	KindConfigManifest Kind = 16
 	KindBlobRequest    Kind = 17
 	KindBlob           Kind = 18
 	KindEngineState    Kind = 19
-	KindCancelAdmit    Kind = 20
 	KindStamp          Kind = 21
 	KindPlaced         Kind = 22
 	KindRegisterAsk    Kind = 23
@@ -119,8 +117,6 @@
 	// Reason is a counter-friendly code such as "full" or "draining".
 	Reason       string `cbor:"3,keyasint,omitempty"`
 	RetryAfterMs uint32 `cbor:"4,keyasint,omitempty"`
-	// EngineIncarnation is the engine's incarnation as last reported to its home.
-	EngineIncarnation uint64 `cbor:"5,keyasint,omitempty"`
 	// Placed is, with a redirect, the engine on which the chat ran last.
 	Placed fleet.EngineID `cbor:"6,keyasint,omitempty"`
 }
@@ -133,12 +129,6 @@
 	Engine fleet.EngineID `cbor:"3,keyasint"`
 }
 
-// CancelAdmit withdraws a queued attempt.
-type CancelAdmit struct {
-	Attempt uint64         `cbor:"1,keyasint"`
-	Engine  fleet.EngineID `cbor:"2,keyasint"`
-}
-
 // Result tells how an attempt ended.
 type Result uint8
 
@@ -288,12 +278,6 @@
 	AgeMs uint32 `cbor:"5,keyasint,omitempty"`
 }
 
-// Quarantine reports a fingerprint that is refused on every instance.
-type Quarantine struct {
-	Fingerprint fleet.Fingerprint `cbor:"1,keyasint"`
-	RemainingMs uint32            `cbor:"2,keyasint"`
-}
-
 // ConfigRequest asks for the manifest of the newest configuration.
 type ConfigRequest struct {
 	Have uint64 `cbor:"1,keyasint,omitempty"`
