--- /dev/null
+++ b/cmd/bilberrywelld/gateway.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bilberrywell/bilberrywell/internal/gateway"
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
+	"github.com/bilberrywell/bilberrywell/platform"
+)
+
+// storeDialTimeout bounds the time to open a connection to the store.
+const storeDialTimeout = time.Second
+
+// runGateway runs the daemon as a gateway until SIGTERM or SIGINT. SIGHUP reloads the settings.
+func runGateway(path string, checkOnly bool) int {
+	s, findings := gateway.LoadSettings(path)
+	if err := findings.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if checkOnly {
+		return exitOK
+	}
+	g, err := gateway.New(gateway.Options{
+		Settings: s,
+		Reload: func() (gateway.Settings, error) {
+			s, findings := gateway.LoadSettings(path)
+			return s, findings.Err()
+		},
+		Protocol: platform.Protocol{},
+		Format:   platform.Format{},
+		Store:    platform.NewStore(s.StoreAddr, upstream.NewDialer(storeDialTimeout).DialContext),
+		Release:  version,
+	})
+	if err != nil {
+		klog.ErrorS(err, "gateway failed")
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		for range hangup {
+			g.Reload()
+		}
+	}()
+	if err := g.Run(ctx); err != nil {
+		klog.ErrorS(err, "gateway failed")
+		return exitFailed
+	}
+	return exitOK
+}
--- a/cmd/bilberrywelld/main.go
+++ b/cmd/bilberrywelld/main.go
@@ -33,6 +33,7 @@
 	klog.InitFlags(nil)
 	path := flag.String("settings", "bilberrywelld.yaml", "path of the settings file")
 	check := flag.Bool("check", false, "check the settings and exit")
+	gatewayPath := flag.String("gateway", "", "run as a gateway with this settings file")
 	showVersion := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
 	defer klog.Flush()
@@ -40,6 +41,9 @@
 		fmt.Println(version)
 		return exitOK
 	}
+	if *gatewayPath != "" {
+		return runGateway(*gatewayPath, *check)
+	}
 	s, findings := settings.Load(*path)
 	if err := findings.Err(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,318 @@
+// Package gateway is the I/O shell of the router: it turns callers' requests, answers of
+// engines, keys of the store, peer messages and timers into events of the reducer and carries
+// out its effects.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/peer"
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/router"
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/routing"
+)
+
+const (
+	// tickInterval is the granularity of the reducer's timers, of which the shortest has 200 ms.
+	tickInterval = 50 * time.Millisecond
+	// pruneInterval is the time between looks for idle connections to close.
+	pruneInterval = time.Second
+	// exitMargin is the part of the stop grace that is left for closing connections.
+	exitMargin = 300 * time.Millisecond
+	// peerBudget is the control bytes per second. It is above the 12 KB/s of the size in
+	// docs/CAPACITY.md so that a configuration of 100 KB reaches its requesters at once.
+	peerBudget = 256 << 10
+)
+
+// Options are what a gateway needs beside its settings.
+type Options struct {
+	Settings Settings
+	// Reload reads the settings again; it is called on a hangup signal or a changed file.
+	Reload   func() (Settings, error)
+	Protocol Protocol
+	Format   router.Format
+	Store    platform.Keyspace
+	Release  string
+}
+
+// Gateway is one running instance.
+type Gateway struct {
+	options     Options
+	settings    Settings
+	protocol    Protocol
+	store       platform.Keyspace
+	incarnation uint64
+	start       time.Time
+	ctx         context.Context
+	cancel      context.CancelFunc
+	tasks       conc.WaitGroup
+
+	// mu is held while an event is handled and its effects are carried out.
+	mu     sync.Mutex
+	router *router.Router
+
+	calls    callTable
+	engines  *upstream.Pool
+	peers    *peer.Manager
+	events   chan router.Event
+	watch    watchSwitch
+	metrics  *gatewayMetrics
+	table    atomic.Pointer[routing.Table]
+	ready    atomic.Bool
+	draining atomic.Bool
+	drained  chan struct{}
+}
+
+// New returns a gateway. Run starts it.
+func New(o Options) (*Gateway, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, oops.In("gateway").Wrapf(err, "read a random seed")
+	}
+	g := &Gateway{
+		options:     o,
+		settings:    o.Settings,
+		protocol:    o.Protocol,
+		store:       o.Store,
+		incarnation: uint64(time.Now().UnixNano()),
+		start:       time.Now(),
+		engines:     upstream.NewPool(nil),
+		events:      make(chan router.Event, eventQueue),
+		metrics:     newMetrics(),
+		drained:     make(chan struct{}),
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.calls.init()
+	cfg := routerConfig(o.Settings, o.Format)
+	cfg.Incarnation = g.incarnation
+	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
+	g.router = router.New(cfg)
+	g.peers = peer.New(g.peerConfig())
+	return g, nil
+}
+
+func routerConfig(s Settings, format router.Format) router.Config {
+	return router.Config{
+		// The peer address names an instance among its peers, because seeds are known by it only.
+		Instance:     fleet.InstanceID(s.PeerAddr),
+		DataCentre:   s.DataCentre,
+		Region:       s.Region,
+		PeerAddr:     s.PeerAddr,
+		Seeds:        s.Seeds,
+		Format:       format,
+		RetryRatio:   s.RetryRatio,
+		RetryReserve: s.RetryReserve,
+		RetryWindow:  s.RetryWindow,
+		DrainWait:    s.DrainWait,
+		LoadFactor:   loadMargin * s.LoadLimit,
+	}
+}
+
+// loadMargin keeps an engine under the load limit although the load of other instances is known
+// with a delay.
+const loadMargin = 0.75
+
+func (g *Gateway) peerConfig() peer.Config {
+	return peer.Config{
+		Self: wire.Hello{
+			Instance:    fleet.InstanceID(g.settings.PeerAddr),
+			Incarnation: g.incarnation,
+			DataCentre:  g.settings.DataCentre,
+			Region:      g.settings.Region,
+			Release:     g.options.Release,
+			Addr:        g.settings.PeerAddr,
+		},
+		Secret:  g.settings.FleetSecret,
+		Budget:  peerBudget,
+		Dial:    upstream.NewDialer(peerDialTimeout).DialContext,
+		Metrics: g.metrics.set,
+		OnMessage: func(from fleet.InstanceID, incarnation uint64, m wire.Message) {
+			g.post(router.PeerMessage{From: from, Incarnation: incarnation, Message: m})
+		},
+		OnUp: func(hello wire.Hello) {
+			g.post(router.PeerUp{Instance: hello.Instance, Incarnation: hello.Incarnation, Addr: hello.Addr, DataCentre: hello.DataCentre})
+		},
+		OnDown: func(instance fleet.InstanceID, incarnation uint64) {
+			g.post(router.PeerDown{Instance: instance, Incarnation: incarnation})
+		},
+	}
+}
+
+// peerDialTimeout bounds the time to open a connection to a peer.
+const peerDialTimeout = time.Second
+
+// eventQueue is the number of peer events that can wait. A full queue delays the links.
+const eventQueue = 256
+
+// post queues an event of a peer. Links call it while the reducer's effects may be waiting for
+// them, so they must not wait for the reducer.
+func (g *Gateway) post(ev router.Event) {
+	select {
+	case g.events <- ev:
+	case <-g.ctx.Done():
+	}
+}
+
+// now returns the time of an event since the start of the process, by the monotonic clock.
+func (g *Gateway) now() time.Duration { return time.Since(g.start) }
+
+// step feeds an event to the reducer and carries out its effects.
+func (g *Gateway) step(ev router.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, effect := range g.router.Step(g.now(), ev) {
+		g.execute(effect)
+	}
+}
+
+// execute carries out an effect. It must not block.
+func (g *Gateway) execute(effect router.Effect) {
+	switch e := effect.(type) {
+	case router.Command:
+		g.calls.command(e)
+	case router.Note:
+		g.note(e)
+	case router.SendMessage:
+		g.peers.Send(e.To, e.Message)
+	case router.SetPeers:
+		g.setPeers(e)
+	case router.ConfigInForce:
+		g.table.Store(e.Table)
+	case router.SetReady:
+		g.ready.Store(e.Ready)
+	case router.WatchStore:
+		g.watch.set(e.On)
+	case router.CheckEngine:
+		go g.checkEngine(e)
+	case router.EngineGone:
+		g.engines.Drop(e.Addr)
+	case router.Drained:
+		close(g.drained)
+	}
+}
+
+func (g *Gateway) setPeers(e router.SetPeers) {
+	targets := make([]peer.Target, len(e.Peers))
+	for i, p := range e.Peers {
+		targets[i] = peer.Target(p)
+	}
+	g.peers.SetTargets(targets)
+}
+
+// checkEngine opens a connection to an engine that broke one off. A connection that opens is kept for use.
+func (g *Gateway) checkEngine(e router.CheckEngine) {
+	conn, err := g.engines.Open(g.ctx, e.Addr)
+	if err == nil {
+		g.engines.Put(conn)
+	}
+	g.step(router.EngineChecked{Engine: e.Engine, Reachable: err == nil})
+}
+
+// Run serves until ctx ends and the instance has drained.
+func (g *Gateway) Run(ctx context.Context) error {
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	for _, s := range servers {
+		g.tasks.Go(s.serve)
+	}
+	g.tasks.Go(g.loop)
+	g.tasks.Go(g.watchStore)
+	g.tasks.Go(g.keepPresence)
+	klog.InfoS("started", "instance", g.settings.Instance, "release", g.options.Release, "callers", g.settings.CallerAddr,
+		"peers", g.settings.PeerAddr, "store", g.settings.StoreAddr)
+	<-ctx.Done()
+	g.draining.Store(true)
+	g.step(router.DrainRequested{})
+	deadline := time.NewTimer(g.settings.StopGrace - exitMargin)
+	defer deadline.Stop()
+	select {
+	case <-g.drained:
+	case <-deadline.C:
+		klog.InfoS("stop grace ended with requests in flight", "instance", g.settings.Instance)
+	}
+	g.stop(servers)
+	klog.InfoS("stopped", "instance", g.settings.Instance)
+	return nil
+}
+
+func (g *Gateway) stop(servers []*server) {
+	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
+	defer cancel()
+	for _, s := range servers {
+		s.shutdown(ctx)
+	}
+	g.cancel()
+	g.peers.Close()
+	g.tasks.Wait()
+	g.engines.Close()
+}
+
+// loop feeds timers and peer events to the reducer.
+func (g *Gateway) loop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	prune := g.now() + pruneInterval
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case ev := <-g.events:
+			g.step(ev)
+		case <-ticker.C:
+			g.step(router.Tick{})
+			if g.now() >= prune {
+				prune = g.now() + pruneInterval
+				g.engines.Prune()
+			}
+		}
+	}
+}
+
+// Reload takes the settings that may change while the process runs: the retry limits and seeds.
+func (g *Gateway) Reload() {
+	s, err := g.options.Reload()
+	if err != nil {
+		klog.ErrorS(err, "settings not reloaded, the last good ones stay", "instance", g.settings.Instance)
+		return
+	}
+	g.mu.Lock()
+	g.router.Reconfigure(routerConfig(s, g.options.Format))
+	g.mu.Unlock()
+	klog.InfoS("settings reloaded", "instance", g.settings.Instance)
+}
+
+// server is one listener with its handler.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+func (s *server) serve() {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		klog.ErrorS(err, "listener failed", "listener", s.name)
+	}
+}
+
+func (s *server) shutdown(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+	}
+}
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/samber/oops"
+)
+
+const (
+	// headerTimeout bounds the time to receive a request's header until a configuration says it.
+	headerTimeout = 10 * time.Second
+	// headerBytes bounds a request's header. Configurations ask for less.
+	headerBytes = 64 << 10
+	// defaultIdleTimeout applies to idle caller connections until a configuration says it.
+	defaultIdleTimeout = time.Minute
+	// idleSlack is the time beyond the configured one after which an idle connection is closed,
+	// so that a request of a caller that keeps to the limit never crosses the close.
+	idleSlack = 2 * time.Second
+)
+
+// listen opens the listeners.
+func (g *Gateway) listen() ([]*server, error) {
+	type listener struct {
+		name, addr string
+		server     *http.Server
+	}
+	list := []listener{
+		{"callers", g.settings.CallerAddr, g.callerServer()},
+		{"readiness", g.settings.ReadyAddr, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}},
+		{"peers", g.settings.PeerAddr, &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout}},
+	}
+	if g.settings.MetricsAddr != "" {
+		list = append(list, listener{"metrics", g.settings.MetricsAddr, &http.Server{Handler: g.metrics.handler(), ReadHeaderTimeout: headerTimeout}})
+	}
+	var servers []*server
+	for _, l := range list {
+		config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}}
+		opened, err := config.Listen(context.Background(), "tcp", l.addr)
+		if err != nil {
+			for _, s := range servers {
+				_ = s.listener.Close()
+			}
+			return nil, oops.In("gateway").With("listener", l.name).Wrapf(err, "listen on %s", l.addr)
+		}
+		if l.name == "callers" {
+			opened = &callerListener{Listener: opened, idle: g.idleTimeout}
+		}
+		l.server.ErrorLog = log.New(io.Discard, "", 0)
+		servers = append(servers, &server{name: l.name, listener: opened, http: l.server})
+	}
+	return servers, nil
+}
+
+func (g *Gateway) callerServer() *http.Server {
+	return &http.Server{
+		Handler:                      http.HandlerFunc(g.serveCall),
+		ReadHeaderTimeout:            headerTimeout,
+		MaxHeaderBytes:               headerBytes,
+		DisableGeneralOptionsHandler: true,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if conn, ok := c.(*callerConn); ok {
+				conn.setIdle(state == http.StateIdle)
+			}
+		},
+	}
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	mux := httprouter.New()
+	mux.GET(g.protocol.ReadinessPath(), func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if !g.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+// idleTimeout is how long a caller's connection may be idle by the configuration in force.
+func (g *Gateway) idleTimeout() time.Duration {
+	if t := g.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
+		return t.Limits.IdleTimeout + idleSlack
+	}
+	return defaultIdleTimeout
+}
+
+// callerListener wraps connections so that their idle timeout follows the configuration, which
+// changes while net/http holds its own timeouts fixed.
+type callerListener struct {
+	net.Listener
+	idle func() time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c, idle: l.idle}, nil
+}
+
+type callerConn struct {
+	net.Conn
+	idle   func() time.Duration
+	isIdle atomic.Bool
+}
+
+// setIdle follows the connection's state. The deadline of an idle connection must not outlast
+// the wait, because it would end the next request.
+func (c *callerConn) setIdle(idle bool) {
+	if c.isIdle.Swap(idle) && !idle {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// SetReadDeadline replaces the missing deadline of an idle connection by the configured one.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() && c.isIdle.Load() {
+		t = time.Now().Add(c.idle())
+	}
+	return c.Conn.SetReadDeadline(t)
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/yamlfile"
+)
+
+// Settings are the settings of one gateway. Fields that a file leaves out or sets to null keep
+// their defaults.
+type Settings struct {
+	// Instance names the process in logs.
+	Instance   fleet.InstanceID
+	DataCentre fleet.DataCentre
+	Region     fleet.Region
+
+	// CallerAddr, ReadyAddr and PeerAddr are the listeners for callers, for the balancer's
+	// questions and for other instances, as IP:port. MetricsAddr is optional.
+	CallerAddr  string
+	ReadyAddr   string
+	PeerAddr    string
+	MetricsAddr string
+	// StoreAddr is the platform's key-value store.
+	StoreAddr string
+	// Seeds are peer addresses that are tried while the store names no instance.
+	Seeds []string
+	// FleetSecret is required of peers; empty where the network is closed to others.
+	FleetSecret string
+
+	// StopGrace is the time from SIGTERM until the process is killed. Default 8 s.
+	StopGrace time.Duration
+	// DrainWait is the shortest time from SIGTERM to the end, in which the balancer notices. Default 3 s.
+	DrainWait time.Duration
+	// RetryRatio, RetryReserve and RetryWindow bound extra attempts over the whole fleet.
+	// Defaults 0.1, 0 and 10 s.
+	RetryRatio   float64
+	RetryReserve float64
+	RetryWindow  time.Duration
+	// LoadLimit is the multiple of a pool's mean load that no engine should exceed. Default 2.
+	LoadLimit float64
+	// LogLines bounds the log in lines per second. Default 200.
+	LogLines int
+}
+
+// DefaultSettings returns settings with the default of every optional field.
+func DefaultSettings() Settings {
+	return Settings{
+		StopGrace:   8 * time.Second,
+		DrainWait:   3 * time.Second,
+		RetryRatio:  0.1,
+		RetryWindow: 10 * time.Second,
+		LoadLimit:   2,
+		LogLines:    200,
+	}
+}
+
+// LoadSettings reads and checks a settings file. All findings are reported at once.
+func LoadSettings(path string) (Settings, config.Findings) {
+	l := &settingsLoader{file: path, settings: DefaultSettings()}
+	l.Report = func(n *yaml.Node, message string) { l.report(n.Line, n.Column, message) }
+	data, err := os.ReadFile(path)
+	if err != nil {
+		l.report(1, 1, "cannot be read: "+err.Error())
+		return l.settings, l.findings
+	}
+	l.read(data)
+	l.findings.Sort()
+	return l.settings, l.findings
+}
+
+type settingsLoader struct {
+	yamlfile.Reader
+	file     string
+	settings Settings
+	findings config.Findings
+}
+
+func (l *settingsLoader) report(line, column int, message string) {
+	l.findings = append(l.findings, config.Finding{File: l.file, Line: max(1, line), Column: max(1, column), Message: message})
+}
+
+func (l *settingsLoader) read(data []byte) {
+	root, syntax := yamlfile.Parse(data)
+	if syntax != nil {
+		l.report(syntax.Line, 1, syntax.Message)
+		return
+	}
+	if root == nil {
+		l.report(1, 1, "the file is empty")
+		return
+	}
+	l.Mapping(root, "the settings file", l.fields(), "instance", "data_centre", "caller_addr", "ready_addr", "peer_addr", "store_addr")
+	if l.settings.DrainWait >= l.settings.StopGrace {
+		l.report(1, 1, fmt.Sprintf("drain_wait %s must be below stop_grace %s", l.settings.DrainWait, l.settings.StopGrace))
+	}
+}
+
+func (l *settingsLoader) fields() yamlfile.Fields {
+	s := &l.settings
+	fields := yamlfile.Fields{
+		"instance":      func(n *yaml.Node) { s.Instance = fleet.InstanceID(l.text(n, "instance")) },
+		"data_centre":   func(n *yaml.Node) { s.DataCentre = fleet.DataCentre(l.text(n, "data_centre")) },
+		"region":        func(n *yaml.Node) { s.Region = fleet.Region(l.text(n, "region")) },
+		"caller_addr":   l.addr("caller_addr", &s.CallerAddr),
+		"ready_addr":    l.addr("ready_addr", &s.ReadyAddr),
+		"peer_addr":     l.addr("peer_addr", &s.PeerAddr),
+		"metrics_addr":  l.addr("metrics_addr", &s.MetricsAddr),
+		"store_addr":    l.addr("store_addr", &s.StoreAddr),
+		"seeds":         func(n *yaml.Node) { s.Seeds = l.Strings(n, "seeds") },
+		"fleet_secret":  func(n *yaml.Node) { s.FleetSecret = l.text(n, "fleet_secret") },
+		"stop_grace":    l.duration("stop_grace", &s.StopGrace, time.Second, time.Hour),
+		"drain_wait":    l.duration("drain_wait", &s.DrainWait, 0, time.Hour),
+		"retry_window":  l.duration("retry_window", &s.RetryWindow, 100*time.Millisecond, time.Hour),
+		"retry_ratio":   l.number("retry_ratio", &s.RetryRatio, 0, 1),
+		"retry_reserve": l.number("retry_reserve", &s.RetryReserve, 0, 1e6),
+		"load_limit":    l.number("load_limit", &s.LoadLimit, 1, 100),
+		"log_lines": func(n *yaml.Node) {
+			if i, ok := l.Int(n, "log_lines", 1, 1e6); ok {
+				s.LogLines = i
+			}
+		},
+	}
+	for name, read := range fields {
+		fields[name] = func(n *yaml.Node) {
+			if n.Tag != "!!null" {
+				read(n)
+			}
+		}
+	}
+	return fields
+}
+
+func (l *settingsLoader) text(n *yaml.Node, what string) string {
+	text, _ := l.String(n, what)
+	return text
+}
+
+func (l *settingsLoader) addr(what string, to *string) func(*yaml.Node) {
+	return func(n *yaml.Node) { *to, _ = l.Addr(n, what) }
+}
+
+func (l *settingsLoader) duration(what string, to *time.Duration, low, high time.Duration) func(*yaml.Node) {
+	return func(n *yaml.Node) {
+		if d, ok := l.Duration(n, what, low, high); ok {
+			*to = d
+		}
+	}
+}
+
+func (l *settingsLoader) number(what string, to *float64, low, high float64) func(*yaml.Node) {
+	return func(n *yaml.Node) {
+		if f, ok := l.Number(n, what, low, high); ok {
+			*to = f
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/store.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/router"
+	"github.com/bilberrywell/bilberrywell/retry"
+)
+
+const (
+	// watchWait is how long a call for changes waits. Dead connections are noticed by keep-alive
+	// probes, so that it only bounds the number of calls.
+	watchWait = 20 * time.Second
+	// storeBackoffBase and storeBackoffMax bound the pauses between calls to a store that fails.
+	// The bounds for drains and configurations leave about two seconds.
+	storeBackoffBase = 50 * time.Millisecond
+	storeBackoffMax  = 500 * time.Millisecond
+	// presenceTTL is the life of the instance's own key without renewal. A dead instance's key
+	// only makes its peers dial in vain.
+	presenceTTL = 30 * time.Second
+	// presenceRetryMax bounds the pauses between attempts to write the key.
+	presenceRetryMax = 5 * time.Second
+)
+
+// watchSwitch turns the reading of changes on and off.
+type watchSwitch struct {
+	mu     sync.Mutex
+	on     bool
+	cancel context.CancelFunc
+	wake   chan struct{}
+}
+
+func (s *watchSwitch) set(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.on = on
+	if !on && s.cancel != nil {
+		s.cancel()
+	}
+	if s.wake == nil {
+		s.wake = make(chan struct{}, 1)
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// await waits until reading is on. It returns a context that ends when it is turned off.
+func (s *watchSwitch) await(ctx context.Context) (context.Context, bool) {
+	for {
+		s.mu.Lock()
+		if s.wake == nil {
+			s.wake = make(chan struct{}, 1)
+		}
+		if s.on {
+			child, cancel := context.WithCancel(ctx)
+			s.cancel = cancel
+			s.mu.Unlock()
+			return child, true
+		}
+		wake := s.wake
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-wake:
+		}
+	}
+}
+
+// watchStore reads keys and their changes whenever the reducer asks for it.
+func (g *Gateway) watchStore() {
+	for {
+		ctx, ok := g.watch.await(g.ctx)
+		if !ok {
+			return
+		}
+		g.followStore(ctx)
+	}
+}
+
+// followStore lists all keys and then waits for changes, until ctx ends.
+func (g *Gateway) followStore(ctx context.Context) {
+	backoff := retry.Backoff{Base: storeBackoffBase, Max: storeBackoffMax}
+	random := rand.New(rand.NewPCG(g.incarnation, 1))
+	var at uint64
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			at, err = g.listKeys(ctx)
+			listed = err == nil
+		} else {
+			at, err = g.awaitChanges(ctx, at)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			backoff.Reset()
+			continue
+		case errors.Is(err, platform.ErrCompacted):
+			klog.InfoS("store history is compacted, listing again", "instance", g.settings.Instance, "after", at)
+			listed = false
+			continue
+		}
+		g.step(router.StoreLost{Err: err})
+		sleep(ctx, backoff.Next(random))
+	}
+}
+
+func (g *Gateway) listKeys(ctx context.Context) (uint64, error) {
+	listing, err := g.store.List(ctx, "")
+	if err != nil {
+		return 0, err
+	}
+	g.step(router.KeysListed{Facts: listing.Facts, At: listing.At})
+	return listing.At, nil
+}
+
+// awaitChanges waits for changes. Changes that come in quick succession are read together after
+// a short pause, because every call is paid for.
+func (g *Gateway) awaitChanges(ctx context.Context, after uint64) (uint64, error) {
+	began := g.now()
+	facts, at, err := g.store.Changes(ctx, "", after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	g.step(router.KeysChanged{Facts: facts, At: at})
+	if spent := g.now() - began; spent < changePause {
+		sleep(ctx, changePause-spent)
+	}
+	return at, nil
+}
+
+// changePause is the least time between two calls for changes.
+const changePause = 100 * time.Millisecond
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// keepPresence keeps the instance's own key in the store, by which others find it.
+func (g *Gateway) keepPresence() {
+	backoff := retry.Backoff{Base: storeBackoffBase, Max: presenceRetryMax}
+	random := rand.New(rand.NewPCG(g.incarnation, 2))
+	var lease platform.LeaseID
+	for g.ctx.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = g.register()
+		} else {
+			err = g.store.Keep(g.ctx, lease)
+		}
+		switch {
+		case err == nil:
+			backoff.Reset()
+			sleep(g.ctx, presenceTTL/3)
+		case errors.Is(err, platform.ErrNotFound):
+			lease = 0
+		default:
+			klog.V(1).InfoS("presence not renewed", "instance", g.settings.Instance, "err", err)
+			sleep(g.ctx, backoff.Next(random))
+		}
+	}
+	if lease != 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
+		defer cancel()
+		// Without the end the key lapses by itself.
+		_ = g.store.End(ctx, lease)
+	}
+}
+
+func (g *Gateway) register() (platform.LeaseID, error) {
+	lease, err := g.store.Grant(g.ctx, presenceTTL)
+	if err != nil {
+		return 0, err
+	}
+	key := router.InstancePrefix + g.settings.PeerAddr
+	value := []byte(g.settings.DataCentre)
+	if _, err := g.store.Commit(g.ctx, platform.Txn{Writes: []platform.Write{{Key: key, Value: value, Lease: lease}}}); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -27,9 +27,9 @@
 	case wire.KindStrike:
 		return classQuarantine
 	case wire.KindConfigRequest, wire.KindConfigManifest, wire.KindBlobRequest, wire.KindBlob,
-		wire.KindEngineState:
+		wire.KindEngineState, wire.KindStoreFacts, wire.KindFactsRequest:
 		return classConfiguration
-	case wire.KindHeartbeat, wire.KindHello:
+	case wire.KindHeartbeat, wire.KindHello, wire.KindStanding:
 		return classHeartbeat
 	}
 	return classTimeline
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -25,6 +25,8 @@
 	ErrUnavailable = errors.New("platform: service unavailable")
 	// ErrUnknown reports a write whose answer was lost: it may have taken effect.
 	ErrUnknown = errors.New("platform: outcome unknown")
+	// ErrCompacted reports changes that the service no longer has: the keys have to be listed again.
+	ErrCompacted = errors.New("platform: history is compacted")
 )
 
 // Entry is a key's value at a revision.
--- /dev/null
+++ b/internal/router/calls.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/placement"
+	"github.com/bilberrywell/bilberrywell/routing"
+)
+
+const (
+	// maxTries bounds the engines that are tried for one request, those that did not run it included.
+	maxTries = 4
+	// startRetryAfter is the hint while the instance does not know a configuration: it is read
+	// within milliseconds once the store answers.
+	startRetryAfter = 500 * time.Millisecond
+	// loadRetryAfter is the hint while no engine takes the request. A failed engine is tried again
+	// after half a second.
+	loadRetryAfter = 300 * time.Millisecond
+	// maxUrgency is the least urgent rank that engines know.
+	maxUrgency = 9
+	// defaultTimeout applies to requests without a timeout of their route or caller.
+	defaultTimeout = 30 * time.Second
+	// minTimeToRepeat is the least time left for which another attempt is worth its cost.
+	minTimeToRepeat = 20 * time.Millisecond
+)
+
+// call is a caller's request at its entry.
+type call struct {
+	Call
+	route    *routing.Route
+	customer fleet.CustomerID
+	urgency  int
+	service  fleet.ServiceID
+	// until is when the request must have its final answer.
+	until time.Duration
+
+	engine fleet.EngineID
+	sentAt time.Duration
+	// tried lists the engines of earlier attempts.
+	tried []fleet.EngineID
+	// arrivals counts the attempts that reached an engine, runs those that may have run.
+	arrivals, runs int
+	delivered      bool
+}
+
+func (r *Router) callArrived(ev CallArrived) {
+	c := &call{Call: ev.Call}
+	r.calls[c.ID] = c
+	if r.table == nil {
+		r.refuse(c, NotRun, "no_configuration", startRetryAfter)
+		return
+	}
+	c.route = r.table.Lookup(c.Host, c.Path)
+	if c.route == nil {
+		r.refuse(c, UnknownRoute, "no_route", 0)
+		return
+	}
+	if !r.identify(c) {
+		r.refuse(c, UnknownKey, "unknown_key", 0)
+		return
+	}
+	c.until = c.Arrived + r.timeLimit(c)
+	c.service = c.route.Pick(uint64(c.Prompt))
+	if r.quarantined(c) {
+		r.refuse(c, NotRun, "quarantined", poisonConfig.Hold)
+		return
+	}
+	if pool := r.pools[c.service]; pool != nil {
+		pool.budget.First(r.now)
+	}
+	r.place(c)
+}
+
+// identify finds the customer of a request. It is false when the route needs a key and none of
+// the configuration's is given.
+func (r *Router) identify(c *call) bool {
+	c.urgency = c.route.Priority
+	if !r.table.Keyed {
+		return true
+	}
+	customer := r.table.Customer(c.APIKey)
+	if customer == nil {
+		return c.route.Anonymous
+	}
+	c.customer = customer.ID
+	if customer.HasPriority {
+		c.urgency = customer.Priority
+	}
+	return true
+}
+
+// timeLimit is the time that a request may take: the shorter of the route's timeout and the
+// caller's patience.
+func (r *Router) timeLimit(c *call) time.Duration {
+	limit := c.route.Timeout
+	if limit <= 0 || c.Patience > 0 && c.Patience < limit {
+		limit = c.Patience
+	}
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	return limit
+}
+
+// place chooses an engine for a request and sends it there.
+func (r *Router) place(c *call) {
+	pool := r.pools[c.service]
+	if pool == nil || len(c.tried) >= maxTries {
+		r.giveUp(c, "no_engine")
+		return
+	}
+	if c.arrivals > 0 && !pool.budget.Allow(r.now) {
+		r.giveUp(c, "retry_budget")
+		return
+	}
+	want := placement.Want{
+		DataCentre: r.cfg.DataCentre,
+		Exclude:    c.tried,
+		Proven:     !c.route.Repeatable(),
+	}
+	if c.route.Affinity {
+		want.Key = uint64(c.Prompt)
+	}
+	choice, ok := pool.engines.Choose(r.now, want)
+	if !ok {
+		r.giveUp(c, "no_engine")
+		return
+	}
+	r.send(c, pool, choice)
+}
+
+func (r *Router) send(c *call, pool *servicePool, choice placement.Choice) {
+	c.engine = choice.Engine.ID
+	c.sentAt = r.now
+	pool.engines.Started(c.engine)
+	r.emit(Send{
+		Call:        c.ID,
+		Engine:      choice.Engine,
+		Route:       c.route,
+		Customer:    c.customer,
+		Urgency:     min(max(c.urgency, 0), maxUrgency),
+		FetchFrom:   choice.FetchFrom,
+		Until:       c.until,
+		HoldFailure: r.mayRepeat(c, 1),
+		Resume:      c.delivered,
+	})
+	r.note(c, "attempt_sent", "engine", c.engine, "reason", choice.Reason.String(), "load", choice.Load,
+		"mean", choice.Mean, "try", len(c.tried)+1, "config", r.table.Version, "fetch", choice.FetchFrom)
+}
+
+// giveUp ends a request for which no attempt is left.
+func (r *Router) giveUp(c *call, code string) {
+	if c.runs > 0 {
+		r.refuse(c, MayHaveRun, code, 0)
+		return
+	}
+	r.refuse(c, NotRun, code, loadRetryAfter)
+}
+
+func (r *Router) refuse(c *call, refusal Refusal, code string, retryAfter time.Duration) {
+	r.emit(Refuse{Call: c.ID, Refusal: refusal, Code: code, RetryAfter: retryAfter})
+	r.note(c, "call_refused", "code", code, "runs", c.runs, "tries", len(c.tried), "age_ms", (r.now - c.Arrived).Milliseconds())
+	delete(r.calls, c.ID)
+}
+
+// release ends a request that needs no answer.
+func (r *Router) release(c *call) {
+	r.emit(Release{Call: c.ID})
+	delete(r.calls, c.ID)
+}
+
+// callerGone ends a request whose caller left while no attempt ran.
+func (r *Router) callerGone(ev CallerGone) {
+	if c := r.calls[ev.Call]; c != nil {
+		r.note(c, "caller_left")
+		r.release(c)
+	}
+}
+
+func (r *Router) note(c *call, kind string, fields ...any) {
+	r.emit(Note{Kind: kind, Label: c.Label, Fields: fields})
+}
--- /dev/null
+++ b/internal/router/effects.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/placement"
+	"github.com/bilberrywell/bilberrywell/routing"
+)
+
+// Effect is an output of the reducer, carried out by the shell.
+type Effect interface{ effect() }
+
+// Command is an effect that tells a request's own goroutine what to do next.
+type Command interface {
+	Effect
+	Target() CallID
+}
+
+// Send forwards a request to an engine.
+type Send struct {
+	Call   CallID
+	Engine placement.Engine
+	Route  *routing.Route
+	// Customer is empty on anonymous routes.
+	Customer fleet.CustomerID
+	// Urgency ranks the request at its engine; 0 is the most urgent.
+	Urgency int
+	// FetchFrom is an engine that holds the prompt's cache, or empty.
+	FetchFrom string
+	// Until is when the request must have its final answer.
+	Until time.Duration
+	// HoldFailure asks that an engine's failure is held back: another attempt may follow.
+	HoldFailure bool
+	// Resume asks the engine to go on after the last delivered event.
+	Resume bool
+}
+
+// Refusal is the kind of a final answer without an engine's.
+type Refusal uint8
+
+// Refusals.
+const (
+	// NotRun: the request has not run and never will.
+	NotRun Refusal = iota + 1
+	// MayHaveRun: an engine was lost while it had the request.
+	MayHaveRun
+	// TooLate: the time for the request ended while an engine had it.
+	TooLate
+	// UnknownKey: no customer holds the API key.
+	UnknownKey
+	// UnknownRoute: no route matches.
+	UnknownRoute
+)
+
+// Refuse ends a request with a final answer of the instance's own, or by breaking off an answer
+// that has begun.
+type Refuse struct {
+	Call    CallID
+	Refusal Refusal
+	// Code is a stable word such as "no_engine".
+	Code string
+	// RetryAfter tells when the request is worth sending again; 0 gives no hint.
+	RetryAfter time.Duration
+}
+
+// Deliver passes on the engine's failure that was held back.
+type Deliver struct{ Call CallID }
+
+// Release ends a request without an answer: its caller has left or has its answer.
+type Release struct{ Call CallID }
+
+// Target implements Command.
+func (e Send) Target() CallID { return e.Call }
+
+// Target implements Command.
+func (e Refuse) Target() CallID { return e.Call }
+
+// Target implements Command.
+func (e Deliver) Target() CallID { return e.Call }
+
+// Target implements Command.
+func (e Release) Target() CallID { return e.Call }
+
+// CheckEngine opens a connection to an engine that broke one off.
+type CheckEngine struct {
+	Engine fleet.EngineID
+	Addr   string
+}
+
+// EngineGone closes idle connections to an engine's address.
+type EngineGone struct{ Addr string }
+
+// ConfigInForce announces the configuration that new requests follow.
+type ConfigInForce struct{ Table *routing.Table }
+
+// SetReady tells the balancer whether the instance takes callers.
+type SetReady struct{ Ready bool }
+
+// WatchStore starts or stops reading changes from the store.
+type WatchStore struct{ On bool }
+
+// SendMessage sends a message to an instance.
+type SendMessage struct {
+	To      fleet.InstanceID
+	Message wire.Message
+}
+
+// SetPeers replaces the set of instances to hold links with.
+type SetPeers struct{ Peers []PeerTarget }
+
+// PeerTarget is an instance to hold a link with.
+type PeerTarget struct {
+	ID   fleet.InstanceID
+	Addr string
+	// Dial tells that this side opens the link.
+	Dial bool
+}
+
+// Drained reports that a requested stop can end.
+type Drained struct{}
+
+// Note is a decision for the log and the counters.
+type Note struct {
+	// Kind is a stable word such as "attempt_sent".
+	Kind string
+	// Label is the caller's id of the request, if the decision is about one.
+	Label string
+	// Fields are pairs of a name and a value.
+	Fields []any
+}
+
+func (Send) effect()          {}
+func (Refuse) effect()        {}
+func (Deliver) effect()       {}
+func (Release) effect()       {}
+func (CheckEngine) effect()   {}
+func (EngineGone) effect()    {}
+func (ConfigInForce) effect() {}
+func (SetReady) effect()      {}
+func (WatchStore) effect()    {}
+func (SendMessage) effect()   {}
+func (SetPeers) effect()      {}
+func (Drained) effect()       {}
+func (Note) effect()          {}
--- /dev/null
+++ b/internal/router/members.go
@@ -0,0 +1,290 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/affinity"
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+)
+
+// InstancePrefix precedes the peer address of each live instance in the store.
+const InstancePrefix = "bilberrywell/instances/"
+
+const (
+	// watchers is the number of instances that read changes from the store for all. With three
+	// a change arrives at once although one of them has failed and another lost the store.
+	watchers = 3
+	// standingInterval is the longest time between standings, busyInterval the shortest.
+	standingInterval = time.Second
+	busyInterval     = 200 * time.Millisecond
+	// linkInterval is added to the shortest time for each link, so that standings of a large
+	// fleet cost an instance no more than about a hundred messages a second.
+	linkInterval = 10 * time.Millisecond
+	// standingLife is the number of a peer's intervals for which its last standing counts.
+	standingLife = 3
+	// dialPatience is how long an instance waits for a peer that should dial it.
+	dialPatience = 2 * time.Second
+)
+
+// memberState is what the instance knows of the others.
+type memberState struct {
+	linked map[fleet.InstanceID]*peerState
+	// known holds when an instance was first planned to be linked.
+	known    map[fleet.InstanceID]time.Duration
+	planned  []PeerTarget
+	nextPlan time.Duration
+
+	sequence uint64
+	next     time.Duration
+	earliest time.Duration
+	// sent is the hash of what the last standing said.
+	sent uint64
+}
+
+type peerState struct {
+	incarnation uint64
+	last        *wire.Standing
+	heard       time.Duration
+	requested   time.Duration
+}
+
+func (m *memberState) init() {
+	m.linked = make(map[fleet.InstanceID]*peerState)
+	m.known = make(map[fleet.InstanceID]time.Duration)
+}
+
+// live reports whether a peer was heard of lately.
+func (p *peerState) live(now time.Duration) bool {
+	interval := standingInterval
+	if p.last != nil {
+		interval = max(interval, time.Duration(p.last.IntervalMs)*time.Millisecond)
+	}
+	return now-p.heard < standingLife*interval
+}
+
+func (r *Router) peerUp(ev PeerUp) {
+	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, heard: r.now, requested: -requestInterval}
+	r.emit(Note{Kind: "peer_up", Fields: []any{"peer", ev.Instance}})
+	r.sendStanding(ev.Instance)
+	r.shareBudgets()
+}
+
+func (r *Router) peerDown(ev PeerDown) {
+	p := r.members.linked[ev.Instance]
+	if p == nil || p.incarnation != ev.Incarnation {
+		return
+	}
+	delete(r.members.linked, ev.Instance)
+	r.emit(Note{Kind: "peer_down", Fields: []any{"peer", ev.Instance}})
+	r.shareLoads()
+	r.electWatchers()
+}
+
+func (r *Router) peerMessage(ev PeerMessage) {
+	p := r.members.linked[ev.From]
+	if p == nil || p.incarnation != ev.Incarnation {
+		return
+	}
+	switch m := ev.Message.(type) {
+	case *wire.Standing:
+		r.standingReceived(ev.From, p, m)
+	case *wire.StoreFacts:
+		r.factsReceived(ev.From, m)
+	case *wire.FactsRequest:
+		r.factsRequested(ev.From, m)
+	case *wire.Strike:
+		r.strikeReceived(m)
+	}
+}
+
+func (r *Router) standingReceived(from fleet.InstanceID, p *peerState, m *wire.Standing) {
+	if p.last != nil && m.Sequence <= p.last.Sequence {
+		return
+	}
+	p.last = m
+	p.heard = r.now
+	r.shareLoads()
+	// A peer that has read further, or equally far with another result, knows something that
+	// this instance missed.
+	behind := m.Newest > r.facts.Newest() || m.Newest == r.facts.Newest() && m.Digest != r.facts.Digest()
+	if behind && r.now-p.requested >= requestInterval {
+		p.requested = r.now
+		r.emit(SendMessage{To: from, Message: &wire.FactsRequest{All: true}})
+	}
+	if !m.StoreLost && r.store.listed == false && m.Newest > 0 {
+		r.store.listed = true
+	}
+}
+
+// shareLoads gives the pools what other instances run.
+func (r *Router) shareLoads() {
+	counts := make(map[fleet.EngineID]int)
+	for _, p := range r.members.linked {
+		if p.last == nil || !p.live(r.now) {
+			continue
+		}
+		for _, c := range p.last.Running {
+			counts[c.Engine] += c.Count
+		}
+	}
+	for _, pool := range r.pools {
+		pool.engines.SetOthers(counts)
+	}
+}
+
+func (r *Router) anyPeerReads() bool {
+	for _, p := range r.members.linked {
+		if p.last != nil && p.live(r.now) && !p.last.StoreLost {
+			return true
+		}
+	}
+	return false
+}
+
+// electWatchers decides whether this instance reads changes from the store. The watchers are
+// the first live instances in an order that all compute alike.
+func (r *Router) electWatchers() {
+	candidates := []affinity.Candidate{{ID: string(r.cfg.Instance), Weight: 1}}
+	for id, p := range r.members.linked {
+		if p.last != nil && p.live(r.now) && !p.last.StoreLost && !p.last.Draining {
+			candidates = append(candidates, affinity.Candidate{ID: string(id), Weight: 1})
+		}
+	}
+	on := true
+	if r.table != nil && r.store.listed && len(candidates) > watchers {
+		order := affinity.Rank(fleet.Hash("watchers"), candidates)
+		on = slices.Contains(order[:watchers], 0)
+	}
+	if on != r.store.watching {
+		r.store.watching = on
+		r.emit(WatchStore{On: on})
+		r.emit(Note{Kind: "watching_store", Fields: []any{"on", on, "candidates", len(candidates)}})
+	}
+}
+
+// planLinks sets the instances to hold links with: those registered in the store, and the seeds
+// while there are none.
+func (r *Router) planLinks() {
+	ids := r.registeredInstances()
+	if len(ids) == 0 {
+		for _, addr := range r.cfg.Seeds {
+			ids = append(ids, fleet.InstanceID(addr))
+		}
+	}
+	var targets []PeerTarget
+	known := make(map[fleet.InstanceID]time.Duration, len(ids))
+	for _, id := range ids {
+		if id == r.cfg.Instance {
+			continue
+		}
+		since, ok := r.members.known[id]
+		if !ok {
+			since = r.now
+		}
+		known[id] = since
+		overdue := r.members.linked[id] == nil && r.now-since >= dialPatience
+		targets = append(targets, PeerTarget{ID: id, Addr: string(id), Dial: r.cfg.Instance < id || overdue || r.wasDialed(id)})
+	}
+	r.members.known = known
+	r.members.nextPlan = r.now + dialPatience
+	slices.SortFunc(targets, func(a, b PeerTarget) int { return cmp.Compare(a.ID, b.ID) })
+	if !slices.Equal(targets, r.members.planned) {
+		r.members.planned = targets
+		r.emit(SetPeers{Peers: targets})
+	}
+}
+
+// wasDialed keeps a link that this side opened, which would be closed otherwise.
+func (r *Router) wasDialed(id fleet.InstanceID) bool {
+	for _, t := range r.members.planned {
+		if t.ID == id {
+			return t.Dial
+		}
+	}
+	return false
+}
+
+func (r *Router) registeredInstances() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, f := range r.facts.All() {
+		if addr, ok := strings.CutPrefix(f.Key, InstancePrefix); ok && addr != string(r.cfg.Instance) {
+			ids = append(ids, fleet.InstanceID(addr))
+		}
+	}
+	return ids
+}
+
+func (r *Router) tickMembers() {
+	if r.now >= r.members.nextPlan {
+		r.planLinks()
+	}
+	r.electWatchers()
+	if r.now < r.members.earliest {
+		return
+	}
+	if r.now >= r.members.next || r.standingHash() != r.members.sent {
+		r.sendStanding("")
+	}
+}
+
+// sendStanding tells one peer, or all of them if to is empty, how this instance stands.
+func (r *Router) sendStanding(to fleet.InstanceID) {
+	r.members.sequence++
+	m := &wire.Standing{
+		Sequence:   r.members.sequence,
+		Newest:     r.facts.Newest(),
+		Digest:     r.facts.Digest(),
+		StoreLost:  r.store.lost,
+		Draining:   r.drain.active,
+		Running:    r.running(),
+		IntervalMs: uint32(standingInterval.Milliseconds()),
+	}
+	if to != "" {
+		r.emit(SendMessage{To: to, Message: m})
+		return
+	}
+	r.members.sent = r.standingHash()
+	r.members.next = r.now + standingInterval
+	r.members.earliest = r.now + max(busyInterval, time.Duration(len(r.members.linked))*linkInterval)
+	r.broadcast(m)
+}
+
+func (r *Router) running() []wire.EngineCount {
+	var counts []wire.EngineCount
+	for _, pool := range r.pools {
+		pool.engines.OwnCounts(func(id fleet.EngineID, n int) {
+			counts = append(counts, wire.EngineCount{Engine: id, Count: n})
+		})
+	}
+	return counts
+}
+
+// standingHash identifies what a standing would say, without its sequence.
+func (r *Router) standingHash() uint64 {
+	h := r.facts.Digest() ^ r.facts.Newest()
+	for _, pool := range r.pools {
+		pool.engines.OwnCounts(func(id fleet.EngineID, n int) { h ^= fleet.Hash(string(id), string(rune(n))) })
+	}
+	if r.store.lost {
+		h ^= 1
+	}
+	if r.drain.active {
+		h ^= 2
+	}
+	return h
+}
+
+func (r *Router) broadcast(m wire.Message) {
+	ids := make([]fleet.InstanceID, 0, len(r.members.linked))
+	for id := range r.members.linked {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r.emit(SendMessage{To: id, Message: m})
+	}
+}
--- /dev/null
+++ b/internal/router/store.go
@@ -0,0 +1,304 @@
+package router
+
+import (
+	"strings"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/placement"
+	"github.com/bilberrywell/bilberrywell/replica"
+	"github.com/bilberrywell/bilberrywell/retry"
+	"github.com/bilberrywell/bilberrywell/routing"
+)
+
+const (
+	// withheldBytes is the size from which a value is only announced to peers. Registrations have
+	// a few hundred bytes, a configuration tens of kilobytes.
+	withheldBytes = 4 << 10
+	// requestInterval is the shortest time between requests to one peer for everything it knows.
+	requestInterval = 2 * time.Second
+)
+
+// storeState is what the instance knows of its access to the store.
+type storeState struct {
+	// watching tells that this instance reads changes itself.
+	watching bool
+	lost     bool
+	lostAt   time.Duration
+	// listed tells that keys were listed at least once, by this instance or a peer.
+	listed bool
+}
+
+func (r *Router) keysListed(ev KeysListed) {
+	r.storeBack()
+	r.store.listed = true
+	r.learn(r.facts.Reset(ev.Prefix, ev.Facts, ev.At), "")
+	r.updateReady()
+}
+
+func (r *Router) keysChanged(ev KeysChanged) {
+	r.storeBack()
+	r.learn(r.facts.Merge(ev.Facts), "")
+}
+
+func (r *Router) storeBack() {
+	if r.store.lost {
+		r.emit(Note{Kind: "store_regained", Fields: []any{"after_ms", (r.now - r.store.lostAt).Milliseconds()}})
+	}
+	r.store.lost = false
+	r.registry.StoreBack(r.now)
+}
+
+func (r *Router) storeLost(ev StoreLost) {
+	if !r.store.lost {
+		r.store.lost = true
+		r.store.lostAt = r.now
+		r.emit(Note{Kind: "store_lost", Fields: []any{"error", errorText(ev.Err)}})
+	}
+	// A peer that still reads the store tells of removals that are real, so that registrations
+	// are only suspended when nobody reads it.
+	if !r.anyPeerReads() {
+		r.registry.StoreLost()
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// learn applies facts that are new to this instance and passes them on. From is the peer that
+// told them, or empty for the store itself.
+func (r *Router) learn(fresh []replica.Fact, from fleet.InstanceID) {
+	if len(fresh) == 0 {
+		return
+	}
+	configKey, registrations := r.cfg.Format.Prefixes()
+	engines, peers := false, false
+	for _, f := range fresh {
+		switch {
+		case f.Key == configKey:
+			r.configurationFact(f)
+		case strings.HasPrefix(f.Key, registrations):
+			engines = r.registrationFact(f) || engines
+		case strings.HasPrefix(f.Key, InstancePrefix):
+			peers = true
+		}
+	}
+	if engines {
+		r.rebuildPools()
+	}
+	if peers {
+		r.planLinks()
+	}
+	if from == "" {
+		r.relay(fresh)
+	}
+}
+
+// relay tells peers what this instance read from the store. Large values are only announced.
+func (r *Router) relay(fresh []replica.Fact) {
+	m := &wire.StoreFacts{Facts: make([]wire.StoreFact, len(fresh))}
+	for i, f := range fresh {
+		m.Facts[i] = wireFact(f, len(f.Value) >= withheldBytes)
+	}
+	r.broadcast(m)
+}
+
+func wireFact(f replica.Fact, withhold bool) wire.StoreFact {
+	w := wire.StoreFact{Key: f.Key, Revision: f.Revision, Deleted: f.Deleted}
+	if withhold {
+		w.Withheld = true
+		return w
+	}
+	w.Value = f.Value
+	return w
+}
+
+// factsReceived merges what a peer tells and asks it for newer large values.
+func (r *Router) factsReceived(from fleet.InstanceID, m *wire.StoreFacts) {
+	var facts []replica.Fact
+	var wanted []string
+	for _, w := range m.Facts {
+		if !w.Withheld {
+			facts = append(facts, replica.Fact{Key: w.Key, Revision: w.Revision, Value: w.Value, Deleted: w.Deleted})
+			continue
+		}
+		if held, ok := r.facts.Get(w.Key); !ok || held.Revision < w.Revision {
+			wanted = append(wanted, w.Key)
+		}
+	}
+	r.learn(r.facts.Merge(facts), from)
+	if len(wanted) > 0 {
+		r.emit(SendMessage{To: from, Message: &wire.FactsRequest{Keys: wanted}})
+	}
+	r.updateReady()
+}
+
+// factsRequested answers a peer.
+func (r *Router) factsRequested(from fleet.InstanceID, m *wire.FactsRequest) {
+	reply := &wire.StoreFacts{}
+	if m.All {
+		for _, f := range r.facts.All() {
+			reply.Facts = append(reply.Facts, wireFact(f, len(f.Value) >= withheldBytes))
+		}
+	}
+	for _, key := range m.Keys {
+		if f, ok := r.facts.Get(key); ok {
+			reply.Facts = append(reply.Facts, wireFact(f, false))
+		}
+	}
+	if len(reply.Facts) > 0 {
+		r.emit(SendMessage{To: from, Message: reply})
+	}
+}
+
+// configurationFact puts a newer configuration in force. The last good one stays when it can't be used.
+func (r *Router) configurationFact(f replica.Fact) {
+	if f.Deleted {
+		r.emit(Note{Kind: "configuration_rejected", Fields: []any{"revision", f.Revision, "error", "deleted"}})
+		return
+	}
+	config, err := r.cfg.Format.Configuration(f.Value)
+	if err != nil {
+		r.emit(Note{Kind: "configuration_rejected", Fields: []any{"revision", f.Revision, "error", err.Error()}})
+		return
+	}
+	if r.table != nil && config.Version <= r.table.Version {
+		r.emit(Note{Kind: "configuration_rejected", Fields: []any{"version", config.Version, "error", "older than the one in force"}})
+		return
+	}
+	table, findings := routing.Compile(config)
+	for _, finding := range findings {
+		r.emit(Note{Kind: "configuration_finding", Fields: []any{"version", config.Version, "finding", finding.String()}})
+	}
+	r.table = table
+	r.emit(ConfigInForce{Table: table})
+	r.emit(Note{Kind: "configuration_in_force", Fields: []any{"version", config.Version, "revision", f.Revision}})
+	r.rebuildPools()
+	r.updateReady()
+}
+
+// registrationFact takes a registration. It reports whether engines changed.
+func (r *Router) registrationFact(f replica.Fact) bool {
+	_, prefix := r.cfg.Format.Prefixes()
+	id := fleet.EngineID(strings.TrimPrefix(f.Key, prefix))
+	if f.Deleted {
+		return r.removeEngine(id, "unregistered")
+	}
+	engine, err := r.cfg.Format.Engine(f.Key, f.Value)
+	if err != nil {
+		r.emit(Note{Kind: "registration_rejected", Fields: []any{"key", f.Key, "revision", f.Revision, "error", err.Error()}})
+		return r.removeEngine(id, "unreadable")
+	}
+	if !r.registry.Put(engine) {
+		return false
+	}
+	r.emit(Note{Kind: "engine_registered", Fields: []any{"engine", id, "service", engine.Service, "addr", engine.Addr,
+		"draining", engine.Draining, "revision", f.Revision}})
+	return true
+}
+
+func (r *Router) removeEngine(id fleet.EngineID, reason string) bool {
+	engine, known := r.registry.Get(id)
+	gone := r.registry.Remove(r.now, id)
+	if known {
+		r.emit(Note{Kind: "engine_removed", Fields: []any{"engine", id, "reason", reason, "suspended", !gone}})
+	}
+	if gone {
+		r.forgetEngine(engine.Addr, id)
+	}
+	return gone
+}
+
+func (r *Router) forgetEngine(addr string, id fleet.EngineID) {
+	delete(r.poison.broken, id)
+	r.emit(EngineGone{Addr: addr})
+}
+
+// expel drops an engine whose address belongs to another one.
+func (r *Router) expel(id fleet.EngineID) {
+	engine, _ := r.registry.Get(id)
+	if r.registry.Expel(id) {
+		r.emit(Note{Kind: "engine_removed", Fields: []any{"engine", id, "reason", "address taken"}})
+		r.forgetEngine(engine.Addr, id)
+		r.rebuildPools()
+	}
+}
+
+func (r *Router) engineUnreachable(id fleet.EngineID) {
+	engine, ok := r.registry.Get(id)
+	if !ok {
+		return
+	}
+	if pool := r.pools[engine.Service]; pool != nil {
+		pool.engines.Failed(r.now, id, placement.Unreachable, 0)
+	}
+	r.emit(Note{Kind: "engine_paused", Fields: []any{"engine", id, "failure", placement.Unreachable.String()}})
+	r.emit(EngineGone{Addr: engine.Addr})
+	r.crashed(id)
+}
+
+// rebuildPools derives the pools from the configuration and the registrations.
+func (r *Router) rebuildPools() {
+	if r.table == nil {
+		return
+	}
+	pools := make(map[fleet.ServiceID]*servicePool)
+	for _, id := range r.table.Services() {
+		pool := r.pools[id]
+		if pool == nil {
+			pool = &servicePool{engines: placement.New(placement.Config{LoadFactor: r.cfg.LoadFactor}, r.rng)}
+		}
+		var engines []placement.Engine
+		for _, e := range r.registry.Service(id) {
+			engines = append(engines, placement.Engine{ID: e.ID, Addr: e.Addr, DataCentre: e.DataCentre, Slots: e.Slots, Draining: e.Draining})
+		}
+		pool.engines.SetEngines(r.now, engines)
+		pools[id] = pool
+	}
+	r.pools = pools
+	r.shareBudgets()
+	r.shareLoads()
+}
+
+// budgetMargin keeps the sum of all instances' extra attempts under the fleet's bound although
+// their windows do not begin at the same time.
+const budgetMargin = 0.8
+
+// shareBudgets divides the fleet's budget for extra attempts among the live instances.
+func (r *Router) shareBudgets() {
+	for _, pool := range r.pools {
+		w := retry.Window{Length: r.cfg.RetryWindow}
+		if pool.budget.Length == w.Length {
+			w = pool.budget
+		}
+		w.Ratio = budgetMargin * r.cfg.RetryRatio
+		w.Reserve = budgetMargin * r.cfg.RetryReserve / float64(len(r.members.linked)+1)
+		pool.budget = w
+	}
+}
+
+// updateReady reports ready once requests can be routed.
+func (r *Router) updateReady() {
+	ready := r.table != nil && r.store.listed && !r.drain.active
+	if ready != r.ready {
+		r.ready = ready
+		r.emit(SetReady{Ready: ready})
+		r.emit(Note{Kind: "readiness", Fields: []any{"ready", ready}})
+	}
+}
+
+// tickStore drops engines whose registrations did not come back.
+func (r *Router) tickStore() {
+	gone := r.registry.Tick(r.now)
+	for _, id := range gone {
+		r.emit(Note{Kind: "engine_removed", Fields: []any{"engine", id, "reason", "lapsed"}})
+	}
+	if len(gone) > 0 {
+		r.rebuildPools()
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,230 @@
+// Package upstream keeps connections to engines and exchanges one request and answer at a time
+// on each.
+//
+// It never sends a request twice by itself, and it tells exactly whether a byte of a request has
+// left the process, because only then a failure leaves open whether the request ran.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBufferBytes holds the head of an answer and a few events of a stream.
+	readBufferBytes = 4 << 10
+	// defaultIdle is how long a connection is kept without a hint of the engine. Engines close
+	// idle connections after a time that not all of them tell.
+	defaultIdle = time.Second
+	// idleMargin is the part of the engine's hint during which a connection is reused: the engine
+	// counts from when it sent the hint.
+	idleMargin = 0.75
+	// maxIdlePerEngine bounds the idle connections to one engine.
+	maxIdlePerEngine = 16
+	// dialTimeout bounds the time to open a connection. A round trip takes a few milliseconds, and
+	// a lost opening packet is repeated after a second, when another engine is the better choice.
+	dialTimeout = 150 * time.Millisecond
+)
+
+// NewDialer returns a dialer whose connections notice within about two seconds that the other
+// side has gone silent.
+func NewDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var set error
+			err := c.Control(func(fd uintptr) {
+				// Data that stays unacknowledged for this long means that the path is cut.
+				set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int((2 * time.Second).Milliseconds()))
+			})
+			return errors.Join(err, set)
+		},
+	}
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 18
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	closed bool
+}
+
+// NewPool returns an empty pool that opens connections with dial, or with NewDialer if it is nil.
+func NewPool(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Pool {
+	if dial == nil {
+		dial = NewDialer(dialTimeout).DialContext
+	}
+	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
+}
+
+// Conn is a connection to an engine. It serves one exchange at a time.
+type Conn struct {
+	addr   string
+	net    net.Conn
+	reader *bufio.Reader
+	// reused tells that the connection has served an exchange before.
+	reused bool
+	// expires is when the engine may close the idle connection.
+	expires time.Time
+	life    time.Duration
+}
+
+// Get returns an idle connection to an address, or opens one.
+func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
+	for {
+		c := p.take(addr)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+	return p.Open(ctx, addr)
+}
+
+// Open opens a connection.
+func (p *Pool) Open(ctx context.Context, addr string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{addr: addr, net: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), life: defaultIdle}, nil
+}
+
+func (p *Pool) take(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// Put keeps a connection whose exchange has ended cleanly.
+func (p *Pool) Put(c *Conn) {
+	c.reused = true
+	c.expires = time.Now().Add(c.life)
+	if c.reader.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[c.addr]) >= maxIdlePerEngine {
+		c.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// Drop closes the idle connections to an address.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// Prune closes the connections that have been idle for longer than their engines keep them.
+func (p *Pool) Prune() {
+	now := time.Now()
+	var old []*Conn
+	p.mu.Lock()
+	for addr, list := range p.idle {
+		keep := list[:0]
+		for _, c := range list {
+			if now.Before(c.expires) {
+				keep = append(keep, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		if len(keep) == 0 {
+			delete(p.idle, addr)
+		} else {
+			p.idle[addr] = keep
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = make(map[string][]*Conn)
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
+// Close closes the connection.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// quiet reports whether an idle connection is open and has nothing to read: bytes that arrive
+// between exchanges belong to no request.
+func (c *Conn) quiet() bool {
+	sys, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// noteIdle reads the engine's hint of how long it keeps an idle connection.
+func (c *Conn) noteIdle(header http.Header) {
+	c.life = defaultIdle
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			c.life = time.Duration(idleMargin * float64(seconds) * float64(time.Second))
+		}
+	}
+}
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -63,6 +63,15 @@
 // Kind implements Message.
 func (*RegisterAsk) Kind() Kind { return KindRegisterAsk }
 
+// Kind implements Message.
+func (*Standing) Kind() Kind { return KindStanding }
+
+// Kind implements Message.
+func (*StoreFacts) Kind() Kind { return KindStoreFacts }
+
+// Kind implements Message.
+func (*FactsRequest) Kind() Kind { return KindFactsRequest }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -108,6 +117,12 @@
 		return &Placed{}
 	case KindRegisterAsk:
 		return &RegisterAsk{}
+	case KindStanding:
+		return &Standing{}
+	case KindStoreFacts:
+		return &StoreFacts{}
+	case KindFactsRequest:
+		return &FactsRequest{}
 	}
 	return nil
 }
@@ -157,6 +172,12 @@
 		return "placed"
 	case KindRegisterAsk:
 		return "register_ask"
+	case KindStanding:
+		return "standing"
+	case KindStoreFacts:
+		return "store_facts"
+	case KindFactsRequest:
+		return "facts_request"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -33,6 +33,9 @@
 	KindStamp          Kind = 21
 	KindPlaced         Kind = 22
 	KindRegisterAsk    Kind = 23
+	KindStanding       Kind = 24
+	KindStoreFacts     Kind = 25
+	KindFactsRequest   Kind = 26
 )
 
 // Hello is the first message on a link, in both directions.
@@ -309,3 +312,47 @@
 	Adapters    []string       `cbor:"5,keyasint,omitempty"`
 	Role        string         `cbor:"6,keyasint,omitempty"`
 }
+
+// Standing tells that the sender is alive, what it runs, and what it knows of the store.
+type Standing struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	// Newest is the highest store revision that the sender knows, Digest the hash of its facts.
+	Newest uint64 `cbor:"2,keyasint,omitempty"`
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// StoreLost tells that the sender can't read the store.
+	StoreLost bool `cbor:"4,keyasint,omitempty"`
+	Draining  bool `cbor:"5,keyasint,omitempty"`
+	// Running lists the engines on which the sender runs requests.
+	Running []EngineCount `cbor:"6,keyasint,omitempty"`
+	// IntervalMs is the sender's longest time between standings.
+	IntervalMs uint32 `cbor:"7,keyasint,omitempty"`
+}
+
+// EngineCount is the number of requests of one instance at an engine.
+type EngineCount struct {
+	_      struct{} `cbor:",toarray"`
+	Engine fleet.EngineID
+	Count  int
+}
+
+// StoreFacts passes on keys of the store.
+type StoreFacts struct {
+	Facts []StoreFact `cbor:"1,keyasint"`
+}
+
+// StoreFact is a key of the store as of a revision.
+type StoreFact struct {
+	Key      string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	Value    []byte `cbor:"3,keyasint,omitempty"`
+	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	// Withheld marks a large value that is sent on request only, because most receivers get it
+	// from another sender.
+	Withheld bool `cbor:"5,keyasint,omitempty"`
+}
+
+// FactsRequest asks for keys of the store, or for all that the receiver knows.
+type FactsRequest struct {
+	Keys []string `cbor:"1,keyasint,omitempty"`
+	All  bool     `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,143 @@
+// Package replica keeps a copy of keys of a key-value store that many instances read.
+//
+// Every fact carries the store's revision of its last change. Facts are merged by revision, so
+// they may arrive in any order, more than once, from the store or from other instances, and all
+// copies converge. A deleted key leaves a tombstone, so that an older fact can't bring it back.
+package replica
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fact is a key's state as of a revision.
+type Fact struct {
+	Key      string
+	Revision uint64
+	Value    []byte
+	Deleted  bool
+}
+
+// maxTombstones bounds the memory for deleted keys. Engines that leave within the time that a
+// late fact can travel are far fewer.
+const maxTombstones = 4096
+
+// Replica is a copy of keys. It is not safe for concurrent use.
+type Replica struct {
+	facts map[string]Fact
+	// digest is the exclusive or of the hashes of all facts that are not deleted.
+	digest uint64
+	// newest is the highest revision of any fact.
+	newest     uint64
+	tombstones []string
+}
+
+// New returns an empty replica.
+func New() *Replica {
+	return &Replica{facts: make(map[string]Fact)}
+}
+
+// Newest returns the highest revision of a fact that was merged.
+func (r *Replica) Newest() uint64 { return r.newest }
+
+// Digest returns a hash of all present keys with their revisions. Replicas with equal digests
+// hold equal facts.
+func (r *Replica) Digest() uint64 { return r.digest }
+
+// Get returns a key's fact. It is false for a key that is unknown or deleted.
+func (r *Replica) Get(key string) (Fact, bool) {
+	f, ok := r.facts[key]
+	return f, ok && !f.Deleted
+}
+
+// Merge takes facts that are newer than those held, and returns these in order of revision.
+func (r *Replica) Merge(facts []Fact) []Fact {
+	var fresh []Fact
+	for _, f := range facts {
+		if r.put(f) {
+			fresh = append(fresh, f)
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b Fact) int { return cmp.Compare(a.Revision, b.Revision) })
+	return fresh
+}
+
+// Reset takes a complete list of the keys under a prefix, begun at revision at. Held keys that
+// the list lacks and that did not change after at are deleted. It returns what changed.
+func (r *Replica) Reset(prefix string, facts []Fact, at uint64) []Fact {
+	listed := make(map[string]bool, len(facts))
+	for _, f := range facts {
+		listed[f.Key] = true
+	}
+	var gone []Fact
+	for key, held := range r.facts {
+		if !held.Deleted && held.Revision <= at && strings.HasPrefix(key, prefix) && !listed[key] {
+			gone = append(gone, Fact{Key: key, Revision: at, Deleted: true})
+		}
+	}
+	slices.SortFunc(gone, func(a, b Fact) int { return cmp.Compare(a.Key, b.Key) })
+	return r.Merge(append(gone, facts...))
+}
+
+// All returns the facts of all present keys in order of key.
+func (r *Replica) All() []Fact {
+	all := make([]Fact, 0, len(r.facts))
+	for _, f := range r.facts {
+		if !f.Deleted {
+			all = append(all, f)
+		}
+	}
+	slices.SortFunc(all, func(a, b Fact) int { return cmp.Compare(a.Key, b.Key) })
+	return all
+}
+
+func (r *Replica) put(f Fact) bool {
+	held, known := r.facts[f.Key]
+	// A deletion inferred from a list carries the list's revision, which may equal that of the
+	// key's last write.
+	if known && (f.Revision < held.Revision || f.Revision == held.Revision && (held.Deleted || !f.Deleted)) {
+		return false
+	}
+	r.newest = max(r.newest, f.Revision)
+	if !known && f.Deleted {
+		r.bury(f)
+		return false
+	}
+	if known && !held.Deleted {
+		r.digest ^= hash(held)
+	}
+	if f.Deleted {
+		r.bury(f)
+		return true
+	}
+	r.facts[f.Key] = f
+	r.digest ^= hash(f)
+	return true
+}
+
+// bury stores a tombstone and drops the oldest one when there are too many.
+func (r *Replica) bury(f Fact) {
+	f.Value = nil
+	r.facts[f.Key] = f
+	r.tombstones = append(r.tombstones, f.Key)
+	for len(r.tombstones) > maxTombstones {
+		if oldest := r.tombstones[0]; r.facts[oldest].Deleted {
+			delete(r.facts, oldest)
+		}
+		r.tombstones = r.tombstones[1:]
+	}
+}
+
+func hash(f Fact) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var revision [8]byte
+	binary.LittleEndian.PutUint64(revision[:], f.Revision)
+	_, _ = d.Write(revision[:])
+	_, _ = d.WriteString(f.Key)
+	return d.Sum64()
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,256 @@
+// Package routing holds a published configuration of routes, customers and limits, and finds
+// the route and the customer of a request.
+//
+// A Table is built once per version and read-only afterwards, so that requests may hold on to
+// the one they started with.
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+)
+
+// Kind tells what may be repeated.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// Idempotent requests may run any number of times.
+	Idempotent Kind = iota + 1
+	// NonIdempotent requests run at most once per attempt of the caller.
+	NonIdempotent
+	// Streaming answers are series of events. They may be repeated only if the route resumes them.
+	Streaming
+)
+
+// String returns the kind's name as used in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non_idempotent"
+	case Streaming:
+		return "streaming"
+	}
+	return "unknown"
+}
+
+// Share is a service with its part of a route's requests.
+type Share struct {
+	Service fleet.ServiceID
+	Weight  int
+}
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name string
+	// Host is in lower case. Prefix begins and ends with a slash.
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time until a request has its final answer.
+	Timeout time.Duration
+	// TargetLatency is the time in which an answer, or the first event of a stream, is on time.
+	TargetLatency time.Duration
+	// Priority is the rank of the route's requests; 0 is the most urgent.
+	Priority int
+	Shares   []Share
+	// MaxAttempts is the most engines that may run one request.
+	MaxAttempts int
+	// Anonymous routes need no API key.
+	Anonymous bool
+	// Affinity tells that requests describe their prompt and profit from a warm cache.
+	Affinity bool
+	// Resumable streams may go on at another engine after the last delivered event.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Pick returns the service of a request. Requests with equal keys get the same service, so that
+// a conversation stays with its cache.
+func (r *Route) Pick(key uint64) fleet.ServiceID {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	at := int(fleet.Hash("share", fmt.Sprint(key)) % uint64(total))
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return ""
+}
+
+// Service is a pool of engines that routes refer to.
+type Service struct {
+	ID fleet.ServiceID
+	// MaxConnections is the most connections that one engine accepts from all callers.
+	MaxConnections int
+	// CacheTokens is the memory of a model engine in tokens; 0 for plain services.
+	CacheTokens int
+}
+
+// Customer is an owner of API keys.
+type Customer struct {
+	ID   fleet.CustomerID
+	Keys []string
+	// Priority replaces that of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is a published configuration.
+type Config struct {
+	Version   uint64
+	Routes    []Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+}
+
+// Table is a compiled configuration.
+type Table struct {
+	Version uint64
+	Limits  Limits
+	// Keyed tells that requests need an API key, except on anonymous routes.
+	Keyed bool
+
+	hosts    map[string]map[string]*Route
+	services map[fleet.ServiceID]Service
+	keys     map[string]*Customer
+}
+
+// Finding is a fault of a configuration with its place, such as routes[3].host.
+type Finding struct {
+	Place   string
+	Message string
+}
+
+// String returns place: message.
+func (f Finding) String() string { return f.Place + ": " + f.Message }
+
+// Compile checks a configuration and builds its table. Entries with findings are left out; the
+// rest of the table is usable.
+func Compile(c Config) (*Table, []Finding) {
+	t := &Table{
+		Version:  c.Version,
+		Limits:   c.Limits,
+		Keyed:    len(c.Customers) > 0,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[fleet.ServiceID]Service, len(c.Services)),
+		keys:     make(map[string]*Customer),
+	}
+	for _, s := range c.Services {
+		t.services[s.ID] = s
+	}
+	var findings []Finding
+	for i := range c.Routes {
+		findings = append(findings, t.addRoute(i, &c.Routes[i])...)
+	}
+	for i := range c.Customers {
+		for _, key := range c.Customers[i].Keys {
+			t.keys[key] = &c.Customers[i]
+		}
+	}
+	return t, findings
+}
+
+func (t *Table) addRoute(i int, r *Route) []Finding {
+	findings := t.checkRoute(fmt.Sprintf("routes[%d]", i), r)
+	if len(findings) > 0 {
+		return findings
+	}
+	r.Host = strings.ToLower(r.Host)
+	prefixes := t.hosts[r.Host]
+	if prefixes == nil {
+		prefixes = make(map[string]*Route)
+		t.hosts[r.Host] = prefixes
+	}
+	prefixes[r.Prefix] = r
+	return nil
+}
+
+func (t *Table) checkRoute(place string, r *Route) []Finding {
+	var findings []Finding
+	report := func(field, message string) {
+		findings = append(findings, Finding{place + "." + field, message})
+	}
+	if r.Host == "" {
+		report("host", "is empty")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		report("prefix", fmt.Sprintf("%q does not begin and end with a slash", r.Prefix))
+	}
+	if r.Kind == 0 {
+		report("kind", "is unknown")
+	}
+	if len(r.Shares) == 0 {
+		report("service", "is missing")
+	}
+	for _, s := range r.Shares {
+		if _, ok := t.services[s.Service]; !ok {
+			report("service", fmt.Sprintf("%q is not declared", s.Service))
+		}
+	}
+	return findings
+}
+
+// Lookup returns the route with the longest prefix of path on a host, or nil. The path is the
+// one of the request line, undecoded and without its query.
+func (t *Table) Lookup(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	prefixes := t.hosts[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Customer returns the customer that holds an API key, or nil.
+func (t *Table) Customer(key string) *Customer { return t.keys[key] }
+
+// Service returns a declared service.
+func (t *Table) Service(id fleet.ServiceID) (Service, bool) {
+	s, ok := t.services[id]
+	return s, ok
+}
+
+// Services returns the declared services in order of ID.
+func (t *Table) Services() []fleet.ServiceID {
+	ids := make([]fleet.ServiceID, 0, len(t.services))
+	for id := range t.services {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b fleet.ServiceID) int { return cmp.Compare(a, b) })
+	return ids
+}
