--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	router *router.Router
 
 	calls    callTable
+	callers  *http.Server
 	engines  *upstream.Pool
 	peers    *peer.Manager
 	events   chan router.Event
@@ -103,6 +104,7 @@
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
 	g.router = router.New(cfg)
 	g.peers = peer.New(g.peerConfig())
+	g.callers = g.callerServer()
 	return g, nil
 }
 
@@ -201,6 +203,8 @@
 		go g.checkEngine(e)
 	case router.EngineGone:
 		g.engines.Drop(e.Addr)
+	case router.StopAccepting:
+		g.tasks.Go(g.stopAccepting)
 	case router.Drained:
 		close(g.drained)
 	}
@@ -223,6 +227,13 @@
 	g.step(router.EngineChecked{Engine: e.Engine, Reachable: err == nil})
 }
 
+// stopAccepting closes the listener for callers and their idle connections. Requests in flight go on.
+func (g *Gateway) stopAccepting() {
+	if err := g.callers.Shutdown(g.ctx); err != nil && g.ctx.Err() == nil {
+		klog.ErrorS(err, "listener not closed", "listener", "callers")
+	}
+}
+
 // Run serves until ctx ends and the instance has drained.
 func (g *Gateway) Run(ctx context.Context) error {
 	servers, err := g.listen()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -32,7 +32,7 @@
 		server     *http.Server
 	}
 	list := []listener{
-		{"callers", g.settings.CallerAddr, g.callerServer()},
+		{"callers", g.settings.CallerAddr, g.callers},
 		{"readiness", g.settings.ReadyAddr, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}},
 		{"peers", g.settings.PeerAddr, &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout}},
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -35,7 +35,9 @@
 
 	// StopGrace is the time from SIGTERM until the process is killed. Default 8 s.
 	StopGrace time.Duration
-	// DrainWait is the shortest time from SIGTERM to the end, in which the balancer notices. Default 3 s.
+	// DrainWait is how long new requests are taken after SIGTERM, until the balancer has noticed
+	// that the instance is not ready. Default 2.5 s, for a balancer that asks every second and
+	// believes the second miss.
 	DrainWait time.Duration
 	// RetryRatio, RetryReserve and RetryWindow bound extra attempts over the whole fleet.
 	// Defaults 0.1, 0 and 10 s.
@@ -52,7 +54,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		StopGrace:   8 * time.Second,
-		DrainWait:   3 * time.Second,
+		DrainWait:   2500 * time.Millisecond,
 		RetryRatio:  0.1,
 		RetryWindow: 10 * time.Second,
 		LoadLimit:   2,
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// watchWait is how long a call for changes waits. Dead connections are noticed by keep-alive
-	// probes, so that it only bounds the number of calls.
-	watchWait = 20 * time.Second
+	// watchWait is how long a call for changes waits. The store may forget a waiting call without
+	// closing its connection, which only the end of the wait shows; a configuration has to be in
+	// force two seconds after the store accepted it.
+	watchWait = time.Second
 	// storeBackoffBase and storeBackoffMax bound the pauses between calls to a store that fails.
 	// The bounds for drains and configurations leave about two seconds.
 	storeBackoffBase = 50 * time.Millisecond
@@ -172,7 +173,7 @@
 		case errors.Is(err, platform.ErrNotFound):
 			lease = 0
 		default:
-			klog.V(1).InfoS("presence not renewed", "instance", g.settings.Instance, "err", err)
+			klog.InfoS("presence not renewed", "instance", g.settings.Instance, "error", err.Error())
 			sleep(g.ctx, backoff.Next(random))
 		}
 	}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -224,7 +224,7 @@
 }
 
 func (m *Manager) accept(w http.ResponseWriter, r *http.Request) {
-	if !sameSecret(r.Header.Get("Authorization"), "Bearer "+m.config.Secret) {
+	if m.config.Secret != "" && !sameSecret(r.Header.Get("Authorization"), "Bearer "+m.config.Secret) {
 		m.counters.badSecret.Inc()
 		http.Error(w, "unauthorized", http.StatusUnauthorized)
 		return
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -33,7 +33,8 @@
 type Config struct {
 	// Self is sent as the first message of each link.
 	Self wire.Hello
-	// Secret is the fleet's secret, required of both sides.
+	// Secret is the fleet's secret, required of both sides. Empty accepts every peer, for
+	// networks that are closed to others.
 	Secret string
 	// Budget is the number of control bytes per second, DefaultBudget if zero.
 	Budget int
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -6,6 +6,7 @@
 type drainState struct {
 	active   bool
 	since    time.Duration
+	closed   bool
 	reported bool
 }
 
@@ -20,9 +21,19 @@
 	r.sendStanding("")
 }
 
-// tickDrain reports the end of a drain: the balancer has noticed and no request is left.
+// tickDrain stops taking requests once the balancer has noticed, and reports the end of the
+// drain when the requests taken until then are answered. Without the first step callers with open
+// connections would keep sending until the process is killed.
 func (r *Router) tickDrain() {
-	if !r.drain.active || r.drain.reported || r.now-r.drain.since < r.cfg.DrainWait || len(r.calls) > 0 {
+	if !r.drain.active || r.drain.reported || r.now-r.drain.since < r.cfg.DrainWait {
+		return
+	}
+	if !r.drain.closed {
+		r.drain.closed = true
+		r.emit(StopAccepting{})
+		r.emit(Note{Kind: "stopped_accepting", Fields: []any{"calls", len(r.calls)}})
+	}
+	if len(r.calls) > 0 {
 		return
 	}
 	r.drain.reported = true
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -118,6 +118,9 @@
 	Dial bool
 }
 
+// StopAccepting closes the listener for callers and their idle connections.
+type StopAccepting struct{}
+
 // Drained reports that a requested stop can end.
 type Drained struct{}
 
@@ -142,5 +145,6 @@
 func (WatchStore) effect()    {}
 func (SendMessage) effect()   {}
 func (SetPeers) effect()      {}
+func (StopAccepting) effect() {}
 func (Drained) effect()       {}
 func (Note) effect()          {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,8 +53,8 @@
 	// LapseGrace is how long registrations that are missing after the store's return may still
 	// come back. Default 2 s.
 	LapseGrace time.Duration
-	// DrainWait is the shortest time from a requested stop to its end, in which the balancer
-	// notices that the instance is not ready. Default 3 s.
+	// DrainWait is how long an instance that stops takes new requests, until the balancer has
+	// noticed that it is not ready. Default 2.5 s.
 	DrainWait time.Duration
 	// LoadFactor is the most load of an engine as a multiple of the mean of its pool. Default 1.5.
 	LoadFactor float64
@@ -64,7 +64,7 @@
 	c.RetryRatio = cmp.Or(c.RetryRatio, 0.1)
 	c.RetryWindow = cmp.Or(c.RetryWindow, 10*time.Second)
 	c.LapseGrace = cmp.Or(c.LapseGrace, 2*time.Second)
-	c.DrainWait = cmp.Or(c.DrainWait, 3*time.Second)
+	c.DrainWait = cmp.Or(c.DrainWait, 2500*time.Millisecond)
 }
 
 // Router is the state of one instance. It is not safe for concurrent use.
