--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -21,9 +21,9 @@
 	// standingInterval is the longest time between standings, busyInterval the shortest.
 	standingInterval = time.Second
 	busyInterval     = 200 * time.Millisecond
-	// linkInterval is added to the shortest time for each link, so that standings of a large
-	// fleet cost an instance no more than about a hundred messages a second.
-	linkInterval = 10 * time.Millisecond
+	// linkInterval is the least time between standings for each link, so that they cost an
+	// instance no more than 40 messages a second in a large fleet.
+	linkInterval = 25 * time.Millisecond
 	// standingLife is the number of a peer's intervals for which its last standing counts.
 	standingLife = 3
 	// dialPatience is how long an instance waits for a peer that should dial it.
@@ -49,7 +49,6 @@
 	incarnation uint64
 	last        *wire.Standing
 	heard       time.Duration
-	requested   time.Duration
 }
 
 func (m *memberState) init() {
@@ -67,7 +66,7 @@
 }
 
 func (r *Router) peerUp(ev PeerUp) {
-	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, heard: r.now, requested: -requestInterval}
+	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, heard: r.now}
 	r.emit(Note{Kind: "peer_up", Fields: []any{"peer", ev.Instance}})
 	r.sendStanding(ev.Instance)
 	r.shareBudgets()
@@ -108,13 +107,7 @@
 	p.last = m
 	p.heard = r.now
 	r.shareLoads()
-	// A peer that has read further, or equally far with another result, knows something that
-	// this instance missed.
-	behind := m.Newest > r.facts.Newest() || m.Newest == r.facts.Newest() && m.Digest != r.facts.Digest()
-	if behind && r.now-p.requested >= requestInterval {
-		p.requested = r.now
-		r.emit(SendMessage{To: from, Message: &wire.FactsRequest{All: true}})
-	}
+	r.compare(from, m)
 	if !m.StoreLost && r.store.listed == false && m.Newest > 0 {
 		r.store.listed = true
 	}
@@ -155,10 +148,11 @@
 		}
 	}
 	on := true
+	order := affinity.Rank(fleet.Hash("watchers"), candidates)
 	if r.table != nil && r.store.listed && len(candidates) > watchers {
-		order := affinity.Rank(fleet.Hash("watchers"), candidates)
 		on = slices.Contains(order[:watchers], 0)
 	}
+	r.store.primary = order[0] == 0
 	if on != r.store.watching {
 		r.store.watching = on
 		r.emit(WatchStore{On: on})
@@ -241,18 +235,25 @@
 		StoreLost:  r.store.lost,
 		Draining:   r.drain.active,
 		Running:    r.running(),
-		IntervalMs: uint32(standingInterval.Milliseconds()),
+		IntervalMs: uint32(r.longestInterval().Milliseconds()),
 	}
 	if to != "" {
 		r.emit(SendMessage{To: to, Message: m})
 		return
 	}
 	r.members.sent = r.standingHash()
-	r.members.next = r.now + standingInterval
-	r.members.earliest = r.now + max(busyInterval, time.Duration(len(r.members.linked))*linkInterval)
+	r.members.next = r.now + r.longestInterval()
+	r.members.earliest = r.now + max(busyInterval, r.linksInterval())
 	r.broadcast(m)
 }
 
+// longestInterval is the time between standings that say nothing new.
+func (r *Router) longestInterval() time.Duration { return max(standingInterval, r.linksInterval()) }
+
+func (r *Router) linksInterval() time.Duration {
+	return time.Duration(len(r.members.linked)) * linkInterval
+}
+
 func (r *Router) running() []wire.EngineCount {
 	var counts []wire.EngineCount
 	for _, pool := range r.pools {
@@ -279,12 +280,17 @@
 }
 
 func (r *Router) broadcast(m wire.Message) {
+	for _, id := range r.linkedPeers() {
+		r.emit(SendMessage{To: id, Message: m})
+	}
+}
+
+// linkedPeers returns the instances with an open link in order of ID.
+func (r *Router) linkedPeers() []fleet.InstanceID {
 	ids := make([]fleet.InstanceID, 0, len(r.members.linked))
 	for id := range r.members.linked {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	for _, id := range ids {
-		r.emit(SendMessage{To: id, Message: m})
-	}
+	return ids
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,6 +84,7 @@
 	poison  poisonState
 	members memberState
 	store   storeState
+	relays  relayState
 	drain   drainState
 	ready   bool
 }
@@ -108,6 +109,7 @@
 	}
 	r.poison.init()
 	r.members.init()
+	r.relays.init()
 	return r
 }
 
@@ -158,6 +160,7 @@
 func (r *Router) tick() {
 	r.tickStore()
 	r.tickMembers()
+	r.tickRelay()
 	r.poison.tracker.Tick(r.now)
 	r.tickDrain()
 }
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -5,27 +5,20 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
-	"github.com/bilberrywell/bilberrywell/internal/wire"
 	"github.com/bilberrywell/bilberrywell/placement"
 	"github.com/bilberrywell/bilberrywell/replica"
 	"github.com/bilberrywell/bilberrywell/retry"
 	"github.com/bilberrywell/bilberrywell/routing"
 )
 
-const (
-	// withheldBytes is the size from which a value is only announced to peers. Registrations have
-	// a few hundred bytes, a configuration tens of kilobytes.
-	withheldBytes = 4 << 10
-	// requestInterval is the shortest time between requests to one peer for everything it knows.
-	requestInterval = 2 * time.Second
-)
-
 // storeState is what the instance knows of its access to the store.
 type storeState struct {
 	// watching tells that this instance reads changes itself.
 	watching bool
-	lost     bool
-	lostAt   time.Duration
+	// primary tells that this instance is the first of the watchers.
+	primary bool
+	lost    bool
+	lostAt  time.Duration
 	// listed tells that keys were listed at least once, by this instance or a peer.
 	listed bool
 }
@@ -99,63 +92,6 @@
 	}
 }
 
-// relay tells peers what this instance read from the store. Large values are only announced.
-func (r *Router) relay(fresh []replica.Fact) {
-	m := &wire.StoreFacts{Facts: make([]wire.StoreFact, len(fresh))}
-	for i, f := range fresh {
-		m.Facts[i] = wireFact(f, len(f.Value) >= withheldBytes)
-	}
-	r.broadcast(m)
-}
-
-func wireFact(f replica.Fact, withhold bool) wire.StoreFact {
-	w := wire.StoreFact{Key: f.Key, Revision: f.Revision, Deleted: f.Deleted}
-	if withhold {
-		w.Withheld = true
-		return w
-	}
-	w.Value = f.Value
-	return w
-}
-
-// factsReceived merges what a peer tells and asks it for newer large values.
-func (r *Router) factsReceived(from fleet.InstanceID, m *wire.StoreFacts) {
-	var facts []replica.Fact
-	var wanted []string
-	for _, w := range m.Facts {
-		if !w.Withheld {
-			facts = append(facts, replica.Fact{Key: w.Key, Revision: w.Revision, Value: w.Value, Deleted: w.Deleted})
-			continue
-		}
-		if held, ok := r.facts.Get(w.Key); !ok || held.Revision < w.Revision {
-			wanted = append(wanted, w.Key)
-		}
-	}
-	r.learn(r.facts.Merge(facts), from)
-	if len(wanted) > 0 {
-		r.emit(SendMessage{To: from, Message: &wire.FactsRequest{Keys: wanted}})
-	}
-	r.updateReady()
-}
-
-// factsRequested answers a peer.
-func (r *Router) factsRequested(from fleet.InstanceID, m *wire.FactsRequest) {
-	reply := &wire.StoreFacts{}
-	if m.All {
-		for _, f := range r.facts.All() {
-			reply.Facts = append(reply.Facts, wireFact(f, len(f.Value) >= withheldBytes))
-		}
-	}
-	for _, key := range m.Keys {
-		if f, ok := r.facts.Get(key); ok {
-			reply.Facts = append(reply.Facts, wireFact(f, false))
-		}
-	}
-	if len(reply.Facts) > 0 {
-		r.emit(SendMessage{To: from, Message: reply})
-	}
-}
-
 // configurationFact puts a newer configuration in force. The last good one stays when it can't be used.
 func (r *Router) configurationFact(f replica.Fact) {
 	if f.Deleted {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -338,14 +338,18 @@
 // StoreFacts passes on keys of the store.
 type StoreFacts struct {
 	Facts []StoreFact `cbor:"1,keyasint"`
+	// Relay lists the instances that the receiver passes the facts on to.
+	Relay []fleet.InstanceID `cbor:"2,keyasint,omitempty"`
 }
 
 // StoreFact is a key of the store as of a revision.
 type StoreFact struct {
 	Key      string `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
-	Value    []byte `cbor:"3,keyasint,omitempty"`
-	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	// Value is packed if Packed is set; see Pack.
+	Value   []byte `cbor:"3,keyasint,omitempty"`
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
+	Packed  bool   `cbor:"6,keyasint,omitempty"`
 	// Withheld marks a large value that is sent on request only, because most receivers get it
 	// from another sender.
 	Withheld bool `cbor:"5,keyasint,omitempty"`
--- /dev/null
+++ b/internal/wire/pack.go
@@ -0,0 +1,40 @@
+package wire
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// maxUnpackedBytes bounds what Unpack returns: the largest value of the platform's store.
+const maxUnpackedBytes = 1 << 20
+
+// Pack compresses a large value. Configurations shrink to about a fifth.
+func Pack(value []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("wire: pack: %w", err)
+	}
+	if _, err := w.Write(value); err != nil {
+		return nil, fmt.Errorf("wire: pack: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("wire: pack: %w", err)
+	}
+	return packed.Bytes(), nil
+}
+
+// Unpack reverses Pack. It returns ErrFrame for anything else, and for values over a megabyte.
+func Unpack(packed []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(packed))
+	value, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: unpack: %v", ErrFrame, err)
+	}
+	if len(value) > maxUnpackedBytes {
+		return nil, fmt.Errorf("%w: unpacked value is too large", ErrFrame)
+	}
+	return value, nil
+}
