--- a/cmd/bilberrywelld/gateway.go
+++ b/cmd/bilberrywelld/gateway.go
@@ -8,9 +8,11 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"k8s.io/klog/v2"
 
 	"github.com/bilberrywell/bilberrywell/internal/gateway"
+	"github.com/bilberrywell/bilberrywell/internal/logsink"
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
 	"github.com/bilberrywell/bilberrywell/platform"
 )
@@ -28,6 +30,9 @@
 	if checkOnly {
 		return exitOK
 	}
+	sink := logsink.New(os.Stdout, s.LogLines)
+	defer sink.Close()
+	klog.SetLogger(logr.New(sink))
 	g, err := gateway.New(gateway.Options{
 		Settings: s,
 		Reload: func() (gateway.Settings, error) {
@@ -38,6 +43,9 @@
 		Format:   platform.Format{},
 		Store:    platform.NewStore(s.StoreAddr, upstream.NewDialer(storeDialTimeout).DialContext),
 		Release:  version,
+
+		SettingsChanged: fileChanges(path),
+		LogDropped:      sink.Dropped,
 	})
 	if err != nil {
 		klog.ErrorS(err, "gateway failed")
@@ -58,3 +66,18 @@
 	}
 	return exitOK
 }
+
+// fileChanges returns a function that reports whether a file was written since its last call. A
+// settings file may change without a signal.
+func fileChanges(path string) func() bool {
+	last, _ := os.Stat(path)
+	return func() bool {
+		info, err := os.Stat(path)
+		if err != nil {
+			return false
+		}
+		changed := last != nil && (!info.ModTime().Equal(last.ModTime()) || info.Size() != last.Size())
+		last = info
+		return changed
+	}
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -47,3 +47,10 @@
 		commands <- c
 	}
 }
+
+// count returns the number of requests without a final answer.
+func (t *callTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,7 @@
 const (
 	// tickInterval is the granularity of the reducer's timers, of which the shortest has 200 ms.
 	tickInterval = 50 * time.Millisecond
-	// pruneInterval is the time between looks for idle connections to close.
+	// pruneInterval is the time between looks for idle connections to close and for changed settings.
 	pruneInterval = time.Second
 	// exitMargin is the part of the stop grace that is left for closing connections.
 	exitMargin = 300 * time.Millisecond
@@ -48,6 +48,10 @@
 	Format   router.Format
 	Store    platform.Keyspace
 	Release  string
+	// SettingsChanged reports whether the settings file was written since the last call. May be nil.
+	SettingsChanged func() bool
+	// LogDropped returns the number of log lines that were dropped. May be nil.
+	LogDropped func() uint64
 }
 
 // Gateway is one running instance.
@@ -99,6 +103,8 @@
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.calls.init()
+	g.metrics.gauges(g)
+	g.store = countedStore{Keyspace: o.Store, metrics: g.metrics}
 	cfg := routerConfig(o.Settings, o.Format)
 	cfg.Incarnation = g.incarnation
 	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
@@ -189,12 +195,17 @@
 		g.calls.command(e)
 	case router.Note:
 		g.note(e)
+	case router.CallDone:
+		g.metrics.callDone(e)
+	case router.AttemptDone:
+		g.metrics.attemptDone(e)
 	case router.SendMessage:
 		g.peers.Send(e.To, e.Message)
 	case router.SetPeers:
 		g.setPeers(e)
 	case router.ConfigInForce:
 		g.table.Store(e.Table)
+		g.metrics.configured(e.Table.Version)
 	case router.SetReady:
 		g.ready.Store(e.Ready)
 	case router.WatchStore:
@@ -291,6 +302,9 @@
 			if g.now() >= prune {
 				prune = g.now() + pruneInterval
 				g.engines.Prune()
+				if g.options.SettingsChanged != nil && g.options.SettingsChanged() {
+					g.Reload()
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/router"
+	"github.com/bilberrywell/bilberrywell/replica"
+)
+
+// gatewayMetrics holds the counters and histograms of a gateway. docs/OPERATIONS.md lists them.
+type gatewayMetrics struct {
+	set *metrics.Set
+	// version and since are those of the configuration in force; since is a Unix time in seconds.
+	version, since atomic.Int64
+}
+
+func newMetrics() *gatewayMetrics {
+	return &gatewayMetrics{set: metrics.NewSet()}
+}
+
+// gauges registers what is read from the gateway when the metrics are asked for.
+func (m *gatewayMetrics) gauges(g *Gateway) {
+	m.set.NewGauge("bilberry_config_version", func() float64 { return float64(m.version.Load()) })
+	m.set.NewGauge("bilberry_config_age_seconds", func() float64 {
+		if m.version.Load() == 0 {
+			return 0
+		}
+		return float64(time.Now().Unix() - m.since.Load())
+	})
+	m.set.NewGauge("bilberry_ready", func() float64 {
+		if g.ready.Load() {
+			return 1
+		}
+		return 0
+	})
+	m.set.NewGauge("bilberry_calls_open", func() float64 { return float64(g.calls.count()) })
+	m.set.NewGauge("bilberry_log_lines_dropped", func() float64 {
+		if g.options.LogDropped == nil {
+			return 0
+		}
+		return float64(g.options.LogDropped())
+	})
+}
+
+func (m *gatewayMetrics) configured(version uint64) {
+	m.version.Store(int64(version))
+	m.since.Store(time.Now().Unix())
+}
+
+func (m *gatewayMetrics) decision(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bilberry_decisions_total{kind=%q}", kind)).Inc()
+}
+
+func (m *gatewayMetrics) callDone(e router.CallDone) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bilberry_calls_total{kind=%q,result=%q}", e.Kind, e.Result)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("bilberry_call_seconds{kind=%q}", e.Kind)).Update(e.Took.Seconds())
+}
+
+func (m *gatewayMetrics) attemptDone(e router.AttemptDone) {
+	name := fmt.Sprintf("bilberry_attempts_total{kind=%q,outcome=%q,reason=%q,repeat=\"%t\"}", e.Kind, e.Outcome, e.Reason, e.Try > 1)
+	m.set.GetOrCreateCounter(name).Inc()
+	if e.FirstByte > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("bilberry_first_byte_seconds{kind=%q}", e.Kind)).Update(e.FirstByte.Seconds())
+	}
+}
+
+func (m *gatewayMetrics) storeCall(call string, err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bilberry_store_calls_total{call=%q,result=%q}", call, storeResult(err))).Inc()
+}
+
+func storeResult(err error) string {
+	for _, known := range []struct {
+		err  error
+		name string
+	}{
+		{nil, "ok"}, {platform.ErrUnavailable, "unavailable"}, {platform.ErrUnknown, "unknown"},
+		{platform.ErrConflict, "conflict"}, {platform.ErrNotFound, "not_found"}, {platform.ErrCompacted, "compacted"},
+	} {
+		if errors.Is(err, known.err) {
+			return known.name
+		}
+	}
+	return "error"
+}
+
+// handler serves all metrics in Prometheus text format.
+func (m *gatewayMetrics) handler() http.Handler {
+	mux := httprouter.New()
+	mux.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		m.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return mux
+}
+
+// countedStore counts the calls to the store by kind and result.
+type countedStore struct {
+	platform.Keyspace
+	metrics *gatewayMetrics
+}
+
+// List implements platform.Keyspace.
+func (s countedStore) List(ctx context.Context, prefix string, stale bool) (platform.Listing, error) {
+	listing, err := s.Keyspace.List(ctx, prefix, stale)
+	s.metrics.storeCall("list", err)
+	return listing, err
+}
+
+// Changes implements platform.Keyspace.
+func (s countedStore) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]replica.Fact, uint64, error) {
+	facts, at, err := s.Keyspace.Changes(ctx, prefix, after, wait)
+	s.metrics.storeCall("changes", err)
+	return facts, at, err
+}
+
+// Commit implements platform.Keyspace.
+func (s countedStore) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	revision, err := s.Keyspace.Commit(ctx, txn)
+	s.metrics.storeCall("commit", err)
+	return revision, err
+}
+
+// Keep implements platform.Keyspace.
+func (s countedStore) Keep(ctx context.Context, lease platform.LeaseID) error {
+	err := s.Keyspace.Keep(ctx, lease)
+	s.metrics.storeCall("keep", err)
+	return err
+}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -34,12 +34,13 @@
 	r.loadReported(c, ev.Load)
 	r.countAttempt(c, ev.Outcome)
 	r.judge(c, ev)
+	r.emit(AttemptDone{Kind: c.route.Kind, Outcome: ev.Outcome, Reason: c.reason, Try: len(c.tried) + 1, FirstByte: ev.FirstByte})
 	r.note(c, "attempt_ended", "engine", c.engine, "outcome", ev.Outcome.String(), "detail", ev.Detail,
 		"ms", (r.now - c.sentAt).Milliseconds(), "first_byte_ms", ev.FirstByte.Milliseconds(), "delivered", c.delivered)
 	c.tried = append(c.tried, c.engine)
 	switch ev.Outcome {
 	case Completed, CallerLeft:
-		r.release(c)
+		r.release(c, ev.Outcome.String())
 	case TimedOut:
 		r.timedOut(c)
 	case Unsent, Rejected, Misdirected:
@@ -106,7 +107,7 @@
 // deliver passes on the engine's own failure.
 func (r *Router) deliver(c *call) {
 	r.emit(Deliver{Call: c.ID})
-	delete(r.calls, c.ID)
+	r.done(c, Errored.String())
 }
 
 // judge turns an attempt's end into evidence about its engine.
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -36,6 +36,7 @@
 	until time.Duration
 
 	engine fleet.EngineID
+	reason placement.Reason
 	sentAt time.Duration
 	// tried lists the engines of earlier attempts.
 	tried []fleet.EngineID
@@ -132,6 +133,7 @@
 
 func (r *Router) send(c *call, pool *servicePool, choice placement.Choice) {
 	c.engine = choice.Engine.ID
+	c.reason = choice.Reason
 	c.sentAt = r.now
 	pool.engines.Started(c.engine)
 	r.emit(Send{
@@ -160,21 +162,40 @@
 
 func (r *Router) refuse(c *call, refusal Refusal, code string, retryAfter time.Duration) {
 	r.emit(Refuse{Call: c.ID, Refusal: refusal, Code: code, RetryAfter: retryAfter})
-	r.note(c, "call_refused", "code", code, "runs", c.runs, "tries", len(c.tried), "age_ms", (r.now - c.Arrived).Milliseconds())
-	delete(r.calls, c.ID)
+	r.note(c, "call_refused", "code", code, "host", c.Host, "path", c.Path, "runs", c.runs, "tries", len(c.tried),
+		"age_ms", (r.now - c.Arrived).Milliseconds(), "config", r.version())
+	r.done(c, code)
 }
 
 // release ends a request that needs no answer.
-func (r *Router) release(c *call) {
+func (r *Router) release(c *call, result string) {
 	r.emit(Release{Call: c.ID})
+	r.done(c, result)
+}
+
+// done forgets a request that has ended.
+func (r *Router) done(c *call, result string) {
+	ended := CallDone{Result: result, Took: r.now - c.Arrived}
+	if c.route != nil {
+		ended.Kind = c.route.Kind
+	}
+	r.emit(ended)
 	delete(r.calls, c.ID)
 }
 
+// version returns the version of the configuration in force, or 0 without one.
+func (r *Router) version() uint64 {
+	if r.table == nil {
+		return 0
+	}
+	return r.table.Version
+}
+
 // callerGone ends a request whose caller left while no attempt ran.
 func (r *Router) callerGone(ev CallerGone) {
 	if c := r.calls[ev.Call]; c != nil {
 		r.note(c, "caller_left")
-		r.release(c)
+		r.release(c, CallerLeft.String())
 	}
 }
 
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -134,6 +134,29 @@
 	Fields []any
 }
 
+// CallDone counts a request that has ended.
+type CallDone struct {
+	// Kind is 0 for a request without a route.
+	Kind routing.Kind
+	// Result is the outcome of the last attempt, or the code of the refusal.
+	Result string
+	// Took is the time since the request's header was read.
+	Took time.Duration
+}
+
+// AttemptDone counts an attempt that has ended.
+type AttemptDone struct {
+	Kind    routing.Kind
+	Outcome Outcome
+	// Reason is why its engine was chosen, and Try counts from 1.
+	Reason placement.Reason
+	Try    int
+	// FirstByte is the time to the head of the answer; 0 without one.
+	FirstByte time.Duration
+}
+
+func (CallDone) effect()      {}
+func (AttemptDone) effect()   {}
 func (Send) effect()          {}
 func (Refuse) effect()        {}
 func (Deliver) effect()       {}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -120,13 +120,15 @@
 	order   []*member
 	ranking *affinity.Pool
 	choices []affinity.Choice
+	// used tells that a request was sent to an engine of the pool.
+	used bool
 }
 
 // member is an engine with what is known of it.
 type member struct {
 	Engine
 	joined time.Duration
-	// founding tells that the engine was there when the pool was first filled: it holds as much
+	// founding tells that the engine joined before the pool's first request: it holds as much
 	// cache as any other.
 	founding bool
 	own      int
@@ -143,14 +145,13 @@
 
 // SetEngines replaces the pool's engines and keeps what is known of those that stay.
 func (p *Pool) SetEngines(now time.Duration, engines []Engine) {
-	founding := len(p.members) == 0
 	members := make(map[fleet.EngineID]*member, len(engines))
 	p.order = p.order[:0]
 	candidates := make([]affinity.Candidate, 0, len(engines))
 	for _, e := range engines {
 		m := p.members[e.ID]
 		if m == nil {
-			m = &member{joined: now, founding: founding}
+			m = &member{joined: now, founding: !p.used}
 		}
 		m.Engine = e
 		members[e.ID] = m
@@ -174,6 +175,7 @@
 
 // Started counts a request that was sent to an engine.
 func (p *Pool) Started(id fleet.EngineID) {
+	p.used = true
 	if m := p.members[id]; m != nil {
 		m.own++
 	}
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,79 @@
+package registry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/registry"
+)
+
+const grace = 2 * time.Second
+
+func filled() *registry.Registry {
+	r := registry.New(registry.Config{LapseGrace: grace})
+	for _, id := range []fleet.EngineID{"e1", "e2", "e3"} {
+		r.Put(registry.Engine{ID: id, Service: "s", Addr: "10.0.0.1:80"})
+	}
+	return r
+}
+
+func ExampleRegistry_Service() {
+	r := filled()
+	r.Remove(0, "e2")
+	for _, e := range r.Service("s") {
+		fmt.Println(e.ID)
+	}
+	// Output:
+	// e1
+	// e3
+}
+
+// Guards against work for an engine that has left while the store is sound.
+func TestRemovalCountsAtOnce(t *testing.T) {
+	r := filled()
+	require.True(t, r.Remove(time.Second, "e1"))
+	require.Equal(t, 2, r.Len())
+	require.False(t, r.Remove(time.Second, "e1"))
+}
+
+// Guards against the loss of all engines when their registrations lapse with the store.
+func TestLapsedRegistrationsAreSuspended(t *testing.T) {
+	r := filled()
+	r.StoreLost()
+	require.False(t, r.Remove(time.Second, "e1"))
+	r.StoreBack(10 * time.Second)
+	require.False(t, r.Remove(10*time.Second, "e2"))
+	require.Equal(t, 3, r.Len())
+	// One registers again, the other does not.
+	require.True(t, r.Put(registry.Engine{ID: "e1", Service: "s", Addr: "10.0.0.1:80"}))
+	require.Empty(t, r.Tick(10*time.Second+grace-1))
+	require.Equal(t, []fleet.EngineID{"e2"}, r.Tick(10*time.Second+grace))
+	require.Equal(t, 2, r.Len())
+	// After the grace period removals count at once again.
+	require.True(t, r.Remove(10*time.Second+grace, "e3"))
+}
+
+// Guards against a grace period that starts again with every read.
+func TestGraceStartsOnceForEachLoss(t *testing.T) {
+	r := filled()
+	r.StoreLost()
+	r.StoreBack(time.Second)
+	r.Remove(time.Second, "e1")
+	r.StoreBack(2 * time.Second)
+	require.Equal(t, []fleet.EngineID{"e1"}, r.Tick(time.Second+grace))
+}
+
+// Guards against pools that are rebuilt for every heartbeat of an engine.
+func TestPutReportsChangesOnly(t *testing.T) {
+	r := filled()
+	same := registry.Engine{ID: "e1", Service: "s", Addr: "10.0.0.1:80"}
+	require.False(t, r.Put(same))
+	same.Draining = true
+	require.True(t, r.Put(same))
+	require.True(t, r.Expel("e1"))
+	require.False(t, r.Expel("e1"))
+}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,76 @@
+package replica_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrywell/bilberrywell/replica"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func ExampleReplica_Merge() {
+	r := replica.New()
+	r.Merge([]replica.Fact{{Key: "a", Revision: 5, Value: []byte("new")}})
+	fresh := r.Merge([]replica.Fact{{Key: "a", Revision: 3, Value: []byte("old")}, {Key: "b", Revision: 4}})
+	fmt.Println(len(fresh), fresh[0].Key)
+	// Output: 1 b
+}
+
+// Guards against copies that differ because facts arrived in another order, twice, or late.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []replica.Fact
+		for revision := range uint64(rapid.IntRange(1, 30).Draw(t, "changes")) {
+			history = append(history, replica.Fact{
+				Key:      rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"),
+				Revision: revision + 1,
+				Value:    []byte(fmt.Sprint(revision)),
+				Deleted:  rapid.Bool().Draw(t, "deleted"),
+			})
+		}
+		shuffled := rapid.Permutation(append(history, history...)).Draw(t, "order")
+		inOrder, mixed := replica.New(), replica.New()
+		inOrder.Merge(history)
+		for _, f := range shuffled {
+			mixed.Merge([]replica.Fact{f})
+		}
+		require.Equal(t, inOrder.Digest(), mixed.Digest())
+		require.Equal(t, inOrder.Newest(), mixed.Newest())
+		require.Equal(t, len(inOrder.All()), len(mixed.All()))
+	})
+}
+
+// Guards against a deleted key that a late fact brings back.
+func TestTombstoneHoldsLateFacts(t *testing.T) {
+	r := replica.New()
+	require.Len(t, r.Merge([]replica.Fact{{Key: "a", Revision: 1}}), 1)
+	require.Len(t, r.Merge([]replica.Fact{{Key: "a", Revision: 3, Deleted: true}}), 1)
+	require.Empty(t, r.Merge([]replica.Fact{{Key: "a", Revision: 2}}))
+	_, ok := r.Get("a")
+	require.False(t, ok)
+	require.Len(t, r.Merge([]replica.Fact{{Key: "a", Revision: 4}}), 1)
+	// A deletion that is heard of before the key itself.
+	require.Empty(t, r.Merge([]replica.Fact{{Key: "b", Revision: 9, Deleted: true}}))
+	require.Empty(t, r.Merge([]replica.Fact{{Key: "b", Revision: 8}}))
+}
+
+// Guards against a list that deletes what was written after it began, or what it does not cover.
+func TestResetDeletesOnlyWhatTheListCovers(t *testing.T) {
+	r := replica.New()
+	r.Merge([]replica.Fact{{Key: "p/gone", Revision: 2}, {Key: "p/kept", Revision: 3}, {Key: "p/later", Revision: 12}, {Key: "q/other", Revision: 4}})
+	fresh := r.Reset("p/", []replica.Fact{{Key: "p/kept", Revision: 3}, {Key: "p/new", Revision: 7}}, 10)
+	var keys []string
+	for _, f := range fresh {
+		keys = append(keys, fmt.Sprint(f.Key, f.Deleted))
+	}
+	require.Equal(t, []string{"p/newfalse", "p/gonetrue"}, keys)
+	for _, key := range []string{"p/kept", "p/later", "p/new", "q/other"} {
+		_, ok := r.Get(key)
+		require.True(t, ok, key)
+	}
+}
