--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/router"
@@ -130,7 +131,7 @@
 	switch {
 	case a.callerLeft():
 		outcome = router.CallerLeft
-	case a.ctx.Err() != nil && outcome != router.Unsent:
+	case outcome != router.Unsent && (a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)):
 		outcome = router.TimedOut
 	}
 	a.end.Outcome = outcome
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -56,7 +56,7 @@
 
 // await waits until reading is on. It returns a context that ends when it is turned off.
 func (s *watchSwitch) await(ctx context.Context) (context.Context, bool) {
-	for {
+	for ctx.Err() == nil {
 		s.mu.Lock()
 		if s.wake == nil {
 			s.wake = make(chan struct{}, 1)
@@ -71,10 +71,10 @@
 		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return nil, false
 		case <-wake:
 		}
 	}
+	return nil, false
 }
 
 // watchStore reads keys and their changes whenever the reducer asks for it.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -152,7 +152,7 @@
 	if r.table != nil && r.store.listed && len(candidates) > watchers {
 		on = slices.Contains(order[:watchers], 0)
 	}
-	r.store.primary = order[0] == 0
+	r.store.rank = min(slices.Index(order, 0), watchers)
 	if on != r.store.watching {
 		r.store.watching = on
 		r.emit(WatchStore{On: on})
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -17,9 +17,12 @@
 	// fanout is the number of instances to which each node of the tree passes a large value on.
 	// With four, 82 instances are reached in four steps.
 	fanout = 4
-	// offerPatience is how long an instance waits for a large value on the tree before it asks
-	// the instance that offered it.
-	offerPatience = 400 * time.Millisecond
+	// treeDelay is the time by which each further watcher starts its tree later. When the trees
+	// before it worked, its first receivers stop it.
+	treeDelay = 300 * time.Millisecond
+	// offerPatience is how long an instance waits for a large value on a tree before it asks the
+	// instance that offered it. It outlasts the tree of the last watcher.
+	offerPatience = 900 * time.Millisecond
 	// lagPatience is how long a difference to a peer's facts may last before it is repaired. Facts
 	// arrive within milliseconds, and standings overtake them.
 	lagPatience = 500 * time.Millisecond
@@ -31,21 +34,34 @@
 type relayState struct {
 	// offers holds large values that peers have told of and not sent.
 	offers map[string]offer
+	// trees holds large values whose trees this instance starts later.
+	trees []laterTree
+	// packed holds the last packed value of each key.
+	packed map[string]wire.StoreFact
 	// laggingSince is when this instance was first found to lack something, or 0.
 	laggingSince time.Duration
 	nextRepair   time.Duration
 }
 
+type laterTree struct {
+	at    time.Duration
+	facts []wire.StoreFact
+}
+
 type offer struct {
 	from     fleet.InstanceID
 	revision uint64
 	at       time.Duration
 }
 
-func (s *relayState) init() { s.offers = make(map[string]offer) }
+func (s *relayState) init() {
+	s.offers = make(map[string]offer)
+	s.packed = make(map[string]wire.StoreFact)
+}
 
-// relay tells peers what this instance read from the store. Large values start on their tree at
-// the first watcher only; the others offer them, in case that one fails.
+// relay tells peers what this instance read from the store. Large values travel along a tree that
+// the first watcher starts at once; the others offer them and start theirs later, in case that one
+// fails.
 func (r *Router) relay(fresh []replica.Fact) {
 	var small, large []wire.StoreFact
 	for _, f := range fresh {
@@ -53,18 +69,31 @@
 			small = append(small, wireFact(f))
 			continue
 		}
-		if r.store.primary {
-			large = append(large, r.pack(f))
-			continue
+		large = append(large, r.pack(f))
+		if r.store.rank > 0 {
+			small = append(small, wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true})
 		}
-		small = append(small, wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true})
 	}
 	if len(small) > 0 {
 		r.broadcast(&wire.StoreFacts{Facts: small})
 	}
 	if len(large) > 0 {
-		r.spread(large, r.linkedPeers())
+		r.relays.trees = append(r.relays.trees, laterTree{at: r.now + time.Duration(r.store.rank)*treeDelay, facts: large})
+		r.startTrees()
+	}
+}
+
+// startTrees starts the trees that are due.
+func (r *Router) startTrees() {
+	later := r.relays.trees[:0]
+	for _, t := range r.relays.trees {
+		if r.now >= t.at {
+			r.spread(t.facts, r.linkedPeers())
+			continue
+		}
+		later = append(later, t)
 	}
+	r.relays.trees = later
 }
 
 // spread passes facts on to instances along a tree.
@@ -83,6 +112,9 @@
 
 // pack returns a fact with its value compressed.
 func (r *Router) pack(f replica.Fact) wire.StoreFact {
+	if known, ok := r.relays.packed[f.Key]; ok && known.Revision == f.Revision {
+		return known
+	}
 	w := wireFact(f)
 	packed, err := wire.Pack(f.Value)
 	if err != nil {
@@ -90,28 +122,36 @@
 		return w
 	}
 	w.Value, w.Packed = packed, true
+	r.relays.packed[f.Key] = w
 	return w
 }
 
-// factsReceived merges what a peer tells, and passes it on.
+// factsReceived merges what a peer tells. It passes on what is new to this instance; for the rest
+// it has done so before.
 func (r *Router) factsReceived(from fleet.InstanceID, m *wire.StoreFacts) {
-	if len(m.Relay) > 0 {
+	if len(m.Relay) > 0 && slices.ContainsFunc(m.Facts, r.lacks) {
 		r.spread(m.Facts, m.Relay)
 	}
 	var facts []replica.Fact
 	for _, w := range m.Facts {
-		switch held, ok := r.facts.Get(w.Key); {
-		case ok && held.Revision >= w.Revision && !w.Deleted:
+		switch {
+		case !w.Deleted && !r.lacks(w):
 		case w.Withheld:
 			r.offered(from, w)
 		default:
 			facts = r.unpack(facts, from, w)
 		}
 	}
-	r.learn(r.facts.Merge(facts), from)
+	r.learn(r.facts.Merge(facts))
 	r.updateReady()
 }
 
+// lacks reports whether a fact is newer than what this instance holds of its key.
+func (r *Router) lacks(w wire.StoreFact) bool {
+	held, ok := r.facts.Get(w.Key)
+	return !ok || held.Revision < w.Revision
+}
+
 func (r *Router) unpack(facts []replica.Fact, from fleet.InstanceID, w wire.StoreFact) []replica.Fact {
 	f := replica.Fact{Key: w.Key, Revision: w.Revision, Value: w.Value, Deleted: w.Deleted}
 	if w.Packed {
@@ -155,6 +195,7 @@
 
 // tickRelay asks for large values that did not arrive on their tree.
 func (r *Router) tickRelay() {
+	r.startTrees()
 	for key, o := range r.relays.offers {
 		if held, ok := r.facts.Get(key); ok && held.Revision >= o.revision {
 			delete(r.relays.offers, key)
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,454 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/registry"
+	"github.com/bilberrywell/bilberrywell/replica"
+	"github.com/bilberrywell/bilberrywell/routing"
+)
+
+// fakeFormat reads configurations as a version with padding, and registrations as "ready" or "draining".
+type fakeFormat struct{}
+
+func (fakeFormat) Prefixes() (string, string) { return "config", "engines/" }
+
+func (fakeFormat) Configuration(value []byte) (routing.Config, error) {
+	version, err := strconv.ParseUint(strings.TrimSpace(string(value)), 10, 64)
+	if err != nil {
+		return routing.Config{}, err
+	}
+	route := func(prefix string, kind routing.Kind, attempts int, resumable bool) routing.Route {
+		return routing.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: time.Second, MaxAttempts: attempts, Resumable: resumable,
+			Shares: []routing.Share{{Service: "s", Weight: 1}}, Affinity: kind == routing.Streaming, Anonymous: true,
+		}
+	}
+	return routing.Config{
+		Version:  version,
+		Services: []routing.Service{{ID: "s"}},
+		Routes: []routing.Route{
+			route("/get/", routing.Idempotent, 2, false), route("/post/", routing.NonIdempotent, 1, false),
+			route("/plan/", routing.Streaming, 1, false), route("/chat/", routing.Streaming, 2, true),
+		},
+	}, nil
+}
+
+func (fakeFormat) Engine(key string, value []byte) (registry.Engine, error) {
+	if v := string(value); v != "ready" && v != "draining" {
+		return registry.Engine{}, errors.New("bad registration")
+	}
+	id := strings.TrimPrefix(key, "engines/")
+	return registry.Engine{ID: fleet.EngineID(id), Service: "s", Addr: id + ":80", DataCentre: "dc", Slots: 8, Draining: string(value) == "draining"}, nil
+}
+
+// session drives a reducer and keeps its effects.
+type session struct {
+	t    *testing.T
+	r    *Router
+	now  time.Duration
+	out  []Effect
+	last CallID
+}
+
+func newSession(t *testing.T, engines int) *session {
+	s := &session{t: t, r: New(Config{Instance: "i1", DataCentre: "dc", Format: fakeFormat{}, RetryReserve: 100})}
+	s.step(Tick{})
+	listing := []replica.Fact{{Key: "config", Revision: 1, Value: []byte("1")}}
+	for i := range engines {
+		listing = append(listing, replica.Fact{Key: fmt.Sprintf("engines/e%d", i), Revision: uint64(2 + i), Value: []byte("ready")})
+	}
+	s.step(KeysListed{Facts: listing, At: 100})
+	return s
+}
+
+func (s *session) step(ev Event) []Effect {
+	s.out = append([]Effect{}, s.r.Step(s.now, ev)...)
+	return s.out
+}
+
+func (s *session) after(d time.Duration) { s.now += d }
+
+// find returns the last effect of a type.
+func find[E Effect](s *session) (E, bool) {
+	for i := len(s.out) - 1; i >= 0; i-- {
+		if e, ok := s.out[i].(E); ok {
+			return e, true
+		}
+	}
+	var none E
+	return none, false
+}
+
+func must[E Effect](s *session) E {
+	e, ok := find[E](s)
+	require.True(s.t, ok, "no %T in %v", e, s.out)
+	return e
+}
+
+// call sends a request and returns the first attempt.
+func (s *session) call(path string) Send {
+	s.last++
+	s.step(CallArrived{Call: Call{ID: s.last, Host: "h", Path: path, Prompt: fleet.ChatKey(s.last), Fingerprint: fleet.Fingerprint(1000 + s.last), Arrived: s.now}})
+	return must[Send](s)
+}
+
+func (s *session) end(o Outcome) { s.step(AttemptEnded{Call: s.last, Outcome: o}) }
+
+// Guards against requests that run more often than their kind allows, and against answers that
+// promise what is not known.
+func TestWhatFollowsAnAttempt(t *testing.T) {
+	const again = Refusal(100)
+	const deliver = Refusal(101)
+	for _, c := range []struct {
+		path    string
+		outcome Outcome
+		want    Refusal
+	}{
+		{"/get/x", Unsent, again}, {"/get/x", Rejected, again}, {"/get/x", Misdirected, again},
+		{"/get/x", Errored, again}, {"/get/x", Broken, again}, {"/get/x", TimedOut, TooLate},
+		{"/post/x", Unsent, again}, {"/post/x", Rejected, again}, {"/post/x", Misdirected, again},
+		{"/post/x", Errored, deliver}, {"/post/x", Broken, MayHaveRun}, {"/post/x", TimedOut, TooLate},
+		{"/plan/x", Rejected, again}, {"/plan/x", Broken, MayHaveRun},
+		{"/chat/x", Broken, again}, {"/chat/x", Errored, again},
+	} {
+		t.Run(c.path+" "+c.outcome.String(), func(t *testing.T) {
+			s := newSession(t, 5)
+			first := s.call(c.path)
+			s.end(c.outcome)
+			second, sent := find[Send](s)
+			switch c.want {
+			case again:
+				require.True(t, sent)
+				require.NotEqual(t, first.Engine.ID, second.Engine.ID)
+			case deliver:
+				must[Deliver](s)
+			default:
+				require.False(t, sent)
+				require.Equal(t, c.want, must[Refuse](s).Refusal)
+			}
+		})
+	}
+}
+
+// Guards against a third engine for a request that may run on two.
+func TestMaxAttempts(t *testing.T) {
+	s := newSession(t, 5)
+	s.call("/get/x")
+	s.end(Broken)
+	require.False(t, must[Send](s).HoldFailure)
+	s.end(Broken)
+	require.Equal(t, MayHaveRun, must[Refuse](s).Refusal)
+}
+
+// Guards against a refusal that says not run after an attempt that may have run.
+func TestRejectionAfterALossIsNoPromise(t *testing.T) {
+	s := newSession(t, 2)
+	s.call("/get/x")
+	s.end(Broken)
+	must[Send](s)
+	s.end(Rejected)
+	require.Equal(t, MayHaveRun, must[Refuse](s).Refusal)
+}
+
+// Guards against more repeats over the fleet than the budget allows.
+func TestRetryBudget(t *testing.T) {
+	s := newSession(t, 5)
+	s.r.cfg.RetryRatio, s.r.cfg.RetryReserve = 0.2, 0
+	s.r.shareBudgets()
+	repeats := 0
+	for range 100 {
+		s.call("/get/x")
+		s.end(Rejected)
+		if _, ok := find[Send](s); ok {
+			repeats++
+			s.end(Completed)
+		}
+	}
+	require.LessOrEqual(t, repeats, 20)
+	require.Greater(t, repeats, 10)
+}
+
+// Guards against a conversation that loses its cache although its engine is sound.
+func TestPromptStaysAtItsEngine(t *testing.T) {
+	s := newSession(t, 9)
+	engine := s.call("/chat/x").Engine.ID
+	s.end(Completed)
+	for range 20 {
+		s.step(CallArrived{Call: Call{ID: 50, Host: "h", Path: "/chat/x", Prompt: 1, Arrived: s.now}})
+		require.Equal(t, engine, must[Send](s).Engine.ID)
+		s.step(AttemptEnded{Call: 50, Outcome: Completed})
+	}
+}
+
+// Guards against new work for an engine that is draining, gone, or whose entry can't be read.
+func TestLeavingEngines(t *testing.T) {
+	for _, f := range []replica.Fact{
+		{Key: "engines/e0", Revision: 101, Value: []byte("draining")},
+		{Key: "engines/e0", Revision: 101, Deleted: true},
+		{Key: "engines/e0", Revision: 101, Value: []byte("\xff")},
+	} {
+		s := newSession(t, 2)
+		s.step(KeysChanged{Facts: []replica.Fact{f}, At: 101})
+		for range 20 {
+			require.Equal(t, fleet.EngineID("e1"), s.call("/get/x").Engine.ID)
+			s.end(Completed)
+		}
+	}
+}
+
+// Guards against an older or unreadable configuration that replaces the one in force.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	s := newSession(t, 1)
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: 200, Value: []byte("7")}}, At: 200})
+	require.Equal(t, uint64(7), must[ConfigInForce](s).Table.Version)
+	for revision, value := range map[uint64]string{201: "5", 202: "broken"} {
+		s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: revision, Value: []byte(value)}}, At: revision})
+		_, changed := find[ConfigInForce](s)
+		require.False(t, changed)
+	}
+	require.Equal(t, uint64(7), s.r.table.Version)
+}
+
+// Guards against the loss of all engines when their registrations lapse while the store is away.
+func TestLapsedRegistrationsStayForAWhile(t *testing.T) {
+	s := newSession(t, 2)
+	s.step(StoreLost{Err: errors.New("refused")})
+	s.after(5 * time.Second)
+	s.step(KeysListed{Facts: []replica.Fact{{Key: "config", Revision: 1, Value: []byte("1")}, {Key: "engines/e1", Revision: 150, Value: []byte("ready")}}, At: 160})
+	s.call("/get/x")
+	s.end(Completed)
+	require.Equal(t, 2, s.r.registry.Len())
+	s.after(3 * time.Second)
+	s.step(Tick{})
+	require.Equal(t, 1, s.r.registry.Len())
+}
+
+// Guards against an instance that is ready before it can route, or while it stops.
+func TestReadiness(t *testing.T) {
+	s := &session{t: t, r: New(Config{Instance: "i1", Format: fakeFormat{}})}
+	s.step(Tick{})
+	require.True(t, must[WatchStore](s).On)
+	s.step(KeysListed{At: 1})
+	_, ok := find[SetReady](s)
+	require.False(t, ok)
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: 2, Value: []byte("1")}}, At: 2})
+	require.True(t, must[SetReady](s).Ready)
+	s.step(DrainRequested{})
+	require.False(t, must[SetReady](s).Ready)
+}
+
+// Guards against a stop that cuts off requests, or that takes requests until it is killed.
+func TestDrain(t *testing.T) {
+	s := newSession(t, 1)
+	s.call("/plan/x")
+	s.step(DrainRequested{})
+	s.after(2 * time.Second)
+	s.step(Tick{})
+	_, closed := find[StopAccepting](s)
+	require.False(t, closed)
+	s.after(time.Second)
+	s.step(Tick{})
+	must[StopAccepting](s)
+	_, drained := find[Drained](s)
+	require.False(t, drained)
+	s.end(Completed)
+	s.step(Tick{})
+	must[Drained](s)
+}
+
+// Guards against a request that crashes one engine after the other.
+func TestRequestThatCrashesEnginesIsRefused(t *testing.T) {
+	s := newSession(t, 6)
+	crashes := 0
+	for try := range 6 {
+		s.last++
+		s.step(CallArrived{Call: Call{ID: s.last, Host: "h", Path: "/post/x", Fingerprint: 7, Arrived: s.now}})
+		sent, ok := find[Send](s)
+		if !ok {
+			require.Equal(t, "quarantined", must[Refuse](s).Code)
+			require.Equal(t, NotRun, must[Refuse](s).Refusal)
+			break
+		}
+		require.Less(t, try, 3, "refused after three crashes")
+		s.end(Broken)
+		check := must[CheckEngine](s)
+		require.Equal(t, sent.Engine.ID, check.Engine)
+		s.step(EngineChecked{Engine: check.Engine, Reachable: false})
+		crashes++
+		s.after(10 * time.Second)
+	}
+	require.Equal(t, 3, crashes)
+}
+
+// Guards against a popular request that is refused because engines crashed while it ran.
+func TestAnsweredRequestIsNotSuspected(t *testing.T) {
+	s := newSession(t, 6)
+	for range 5 {
+		s.last++
+		s.step(CallArrived{Call: Call{ID: s.last, Host: "h", Path: "/get/x", Fingerprint: 7, Arrived: s.now}})
+		must[Send](s)
+		s.end(Broken)
+		check := must[CheckEngine](s)
+		s.step(EngineChecked{Engine: check.Engine, Reachable: false})
+		s.step(AttemptEnded{Call: s.last, Outcome: Completed})
+		s.after(5 * time.Second)
+	}
+	s.step(CallArrived{Call: Call{ID: 99, Host: "h", Path: "/get/x", Fingerprint: 7, Arrived: s.now}})
+	must[Send](s)
+}
+
+// link opens links to n peers named i2, i3 and so on.
+func (s *session) link(n int) {
+	for i := range n {
+		id := fleet.InstanceID(fmt.Sprintf("i%d", i+2))
+		s.step(PeerUp{Instance: id, Incarnation: 1})
+		s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: 1, Newest: s.r.facts.Newest(), Digest: s.r.facts.Digest()}})
+	}
+	s.step(Tick{})
+}
+
+func (s *session) sent(kind wire.Kind) []SendMessage {
+	var list []SendMessage
+	for _, e := range s.out {
+		if m, ok := e.(SendMessage); ok && m.Message.Kind() == kind {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Guards against a fleet in which every instance reads every change from the store, and against
+// one in which nobody does.
+func TestFewInstancesWatchTheStore(t *testing.T) {
+	watching := 0
+	for i := range 12 {
+		s := newSession(t, 1)
+		s.r.cfg.Instance = fleet.InstanceID(fmt.Sprintf("i%d", i+1))
+		for j := range 12 {
+			if j == i {
+				continue
+			}
+			id := fleet.InstanceID(fmt.Sprintf("i%d", j+1))
+			s.step(PeerUp{Instance: id, Incarnation: 1})
+			s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: 1}})
+		}
+		s.step(Tick{})
+		if s.r.store.watching {
+			watching++
+		}
+	}
+	require.Equal(t, watchers, watching)
+}
+
+// Guards against an instance that goes on trusting watchers that have lost the store.
+func TestWatchesWhenOthersLostTheStore(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(10)
+	s.r.cfg.Instance = "not-a-watcher-3"
+	s.step(Tick{})
+	for i := range 10 {
+		id := fleet.InstanceID(fmt.Sprintf("i%d", i+2))
+		s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: 2, StoreLost: true}})
+	}
+	s.step(Tick{})
+	require.True(t, s.r.store.watching)
+}
+
+// Guards against a large configuration that one instance sends to the whole fleet.
+func TestLargeValueTravelsAlongATree(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(40)
+	s.r.store.rank = 0
+	large := []byte(strings.Repeat(" ", 20_000) + "9")
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: 300, Value: large}}, At: 300})
+	sent := s.sent(wire.KindStoreFacts)
+	require.Len(t, sent, fanout)
+	reached := map[fleet.InstanceID]bool{}
+	for _, m := range sent {
+		facts := m.Message.(*wire.StoreFacts)
+		require.True(t, facts.Facts[0].Packed)
+		require.Less(t, len(facts.Facts[0].Value), 1000)
+		reached[m.To] = true
+		for _, id := range facts.Relay {
+			reached[id] = true
+		}
+	}
+	require.Len(t, reached, 40)
+}
+
+// Guards against a configuration that is lost with the first watcher, and against copies of it
+// that circle in the fleet.
+func TestLaterWatchersRepeatTheTree(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(10)
+	s.r.store.rank = 1
+	large := []byte(strings.Repeat(" ", 20_000) + "9")
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: 300, Value: large}}, At: 300})
+	require.Len(t, s.sent(wire.KindStoreFacts), 10, "offers without the value")
+	s.after(treeDelay)
+	s.step(Tick{})
+	trees := s.sent(wire.KindStoreFacts)
+	require.Len(t, trees, fanout)
+	// A receiver passes the value on once.
+	other := newSession(t, 1)
+	other.link(10)
+	m := trees[0].Message
+	other.step(PeerMessage{From: "i2", Incarnation: 1, Message: m})
+	require.NotEmpty(t, other.sent(wire.KindStoreFacts))
+	require.Equal(t, uint64(9), other.r.table.Version)
+	other.step(PeerMessage{From: "i3", Incarnation: 1, Message: m})
+	require.Empty(t, other.sent(wire.KindStoreFacts))
+}
+
+// Guards against a missed fact that is never repaired, and against a flood of repairs.
+func TestLastingDifferenceIsRepairedOnce(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(20)
+	asked := 0
+	for round := range 20 {
+		s.after(100 * time.Millisecond)
+		for i := range 20 {
+			id := fleet.InstanceID(fmt.Sprintf("i%d", i+2))
+			s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: uint64(2 + round), Newest: 500, Digest: 42}})
+			asked += len(s.sent(wire.KindFactsRequest))
+		}
+		if s.now < lagPatience {
+			require.Zero(t, asked)
+		}
+	}
+	require.Positive(t, asked)
+	require.LessOrEqual(t, asked, 4)
+}
+
+// Guards against a first list that a restarted instance sends to the whole fleet.
+func TestFirstListIsNotRelayed(t *testing.T) {
+	s := &session{t: t, r: New(Config{Instance: "i1", Format: fakeFormat{}})}
+	s.link(5)
+	s.step(KeysListed{Facts: []replica.Fact{{Key: "engines/e1", Revision: 2, Value: []byte("ready")}}, At: 9})
+	require.Empty(t, s.sent(wire.KindStoreFacts))
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "engines/e2", Revision: 10, Value: []byte("ready")}}, At: 10})
+	require.Len(t, s.sent(wire.KindStoreFacts), 5)
+}
+
+// Guards against load of other instances that is forgotten or kept after their end.
+func TestLoadOfOthersCounts(t *testing.T) {
+	s := newSession(t, 2)
+	s.link(1)
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.Standing{Sequence: 9, Newest: s.r.facts.Newest(), Digest: s.r.facts.Digest(),
+		Running: []wire.EngineCount{{Engine: "e0", Count: 6}}}})
+	for range 5 {
+		require.Equal(t, fleet.EngineID("e1"), s.call("/get/x").Engine.ID)
+	}
+	s.step(PeerDown{Instance: "i2", Incarnation: 1})
+	require.Equal(t, fleet.EngineID("e0"), s.call("/get/x").Engine.ID)
+}
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -15,24 +15,31 @@
 type storeState struct {
 	// watching tells that this instance reads changes itself.
 	watching bool
-	// primary tells that this instance is the first of the watchers.
-	primary bool
-	lost    bool
-	lostAt  time.Duration
+	// rank is the instance's place among the watchers, 0 for the first.
+	rank   int
+	lost   bool
+	lostAt time.Duration
 	// listed tells that keys were listed at least once, by this instance or a peer.
 	listed bool
 }
 
 func (r *Router) keysListed(ev KeysListed) {
 	r.storeBack()
+	fresh := r.facts.Reset(ev.Prefix, ev.Facts, ev.At)
+	r.learn(fresh)
+	// The first list of a process is news to itself only.
+	if r.store.listed {
+		r.relay(fresh)
+	}
 	r.store.listed = true
-	r.learn(r.facts.Reset(ev.Prefix, ev.Facts, ev.At), "")
 	r.updateReady()
 }
 
 func (r *Router) keysChanged(ev KeysChanged) {
 	r.storeBack()
-	r.learn(r.facts.Merge(ev.Facts), "")
+	fresh := r.facts.Merge(ev.Facts)
+	r.learn(fresh)
+	r.relay(fresh)
 }
 
 func (r *Router) storeBack() {
@@ -63,12 +70,8 @@
 	return err.Error()
 }
 
-// learn applies facts that are new to this instance and passes them on. From is the peer that
-// told them, or empty for the store itself.
-func (r *Router) learn(fresh []replica.Fact, from fleet.InstanceID) {
-	if len(fresh) == 0 {
-		return
-	}
+// learn applies facts that are new to this instance.
+func (r *Router) learn(fresh []replica.Fact) {
 	configKey, registrations := r.cfg.Format.Prefixes()
 	engines, peers := false, false
 	for _, f := range fresh {
@@ -87,9 +90,6 @@
 	if peers {
 		r.planLinks()
 	}
-	if from == "" {
-		r.relay(fresh)
-	}
 }
 
 // configurationFact puts a newer configuration in force. The last good one stays when it can't be used.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -133,9 +133,10 @@
 	founding bool
 	own      int
 	others   int
-	report   Load
-	reportAt time.Duration
-	health   health
+	// report is the engine's own report, which counts until reportEnds.
+	report     Load
+	reportEnds time.Duration
+	health     health
 }
 
 // New returns an empty pool.
@@ -192,7 +193,7 @@
 func (p *Pool) Reported(now time.Duration, id fleet.EngineID, load Load) {
 	if m := p.members[id]; m != nil {
 		m.report = load
-		m.reportAt = now
+		m.reportEnds = now + p.config.ReportLife
 	}
 }
 
@@ -215,7 +216,7 @@
 // load is the best estimate of the requests at an engine.
 func (p *Pool) load(now time.Duration, m *member) int {
 	known := m.own + m.others
-	if m.reportAt > 0 && now-m.reportAt < p.config.ReportLife {
+	if now < m.reportEnds {
 		return max(known, m.report.Running+m.report.Waiting)
 	}
 	return known
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,237 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/placement"
+)
+
+func pool(n int) *placement.Pool {
+	p := placement.New(placement.Config{}, rand.New(rand.NewPCG(1, 2)))
+	p.SetEngines(0, engines(n))
+	return p
+}
+
+func engines(n int) []placement.Engine {
+	list := make([]placement.Engine, n)
+	for i := range list {
+		list[i] = placement.Engine{ID: fleet.EngineID(fmt.Sprintf("e%d", i)), Addr: fmt.Sprintf("a%d", i), DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", i%2)), Slots: 64}
+	}
+	return list
+}
+
+func choose(t *testing.T, p *placement.Pool, now time.Duration, w placement.Want) placement.Choice {
+	c, ok := p.Choose(now, w)
+	require.True(t, ok)
+	return c
+}
+
+func ExamplePool_Choose() {
+	p := pool(3)
+	first, _ := p.Choose(0, placement.Want{Key: 42})
+	p.Started(first.Engine.ID)
+	again, _ := p.Choose(0, placement.Want{Key: 42})
+	fmt.Println(first.Engine.ID == again.Engine.ID, again.Reason)
+	// Output: true warm
+}
+
+// Guards against two instances that send one conversation to different engines.
+func TestInstancesAgreeOnWarmEngines(t *testing.T) {
+	a, b := pool(9), pool(9)
+	for key := range uint64(200) {
+		require.Equal(t, choose(t, a, 0, placement.Want{Key: key + 1}).Engine.ID, choose(t, b, 0, placement.Want{Key: key + 1}).Engine.ID)
+	}
+}
+
+// Guards against an engine that carries more than the bound because its conversations are popular.
+func TestWarmEngineOverflowsAtTheBound(t *testing.T) {
+	p := pool(4)
+	w := placement.Want{Key: 7}
+	counts := map[fleet.EngineID]int{}
+	for range 80 {
+		c := choose(t, p, 0, w)
+		p.Started(c.Engine.ID)
+		counts[c.Engine.ID]++
+	}
+	mean := 20.0
+	for id, n := range counts {
+		require.LessOrEqual(t, float64(n), 1.5*mean+3, id)
+	}
+	// The overflow names the engine that has the cache.
+	c := choose(t, p, 0, w)
+	if c.Reason == placement.Overflow {
+		require.NotEmpty(t, c.FetchFrom)
+		require.NotEqual(t, c.Engine.Addr, c.FetchFrom)
+	}
+}
+
+// Guards against work of other instances that the bound ignores.
+func TestLoadOfOthersCountsForTheBound(t *testing.T) {
+	p := pool(4)
+	first := choose(t, p, 0, placement.Want{Key: 7}).Engine.ID
+	p.SetOthers(map[fleet.EngineID]int{first: 10})
+	require.NotEqual(t, first, choose(t, p, 0, placement.Want{Key: 7}).Engine.ID)
+	p.SetOthers(nil)
+	require.Equal(t, first, choose(t, p, 0, placement.Want{Key: 7}).Engine.ID)
+	p.Reported(0, first, placement.Load{Running: 20, Slots: 64})
+	require.NotEqual(t, first, choose(t, p, 100*time.Millisecond, placement.Want{Key: 7}).Engine.ID)
+	require.Equal(t, first, choose(t, p, time.Second, placement.Want{Key: 7}).Engine.ID, "the report is old")
+}
+
+// Guards against a cold cache at an engine that has just joined.
+func TestNewEngineFetchesFromTheFormerOne(t *testing.T) {
+	p := pool(8)
+	before := map[uint64]placement.Choice{}
+	for key := range uint64(300) {
+		before[key+1] = choose(t, p, 0, placement.Want{Key: key + 1})
+		require.Empty(t, before[key+1].FetchFrom)
+		p.Started(before[key+1].Engine.ID)
+		p.Ended(before[key+1].Engine.ID)
+	}
+	p.SetEngines(time.Second, engines(9))
+	moved := 0
+	for key, old := range before {
+		c := choose(t, p, 2*time.Second, placement.Want{Key: key})
+		if c.Engine.ID == "e8" {
+			moved++
+			require.Equal(t, old.Engine.Addr, c.FetchFrom)
+			continue
+		}
+		require.Equal(t, old.Engine.ID, c.Engine.ID, "only the new engine's keys move")
+		require.Empty(t, c.FetchFrom)
+	}
+	require.InDelta(t, 300/9, moved, 20)
+	for key := range before {
+		require.Empty(t, choose(t, p, time.Minute, placement.Want{Key: key}).FetchFrom)
+	}
+}
+
+// Guards against a draining engine whose cache is read again although it could be copied.
+func TestDrainingEngineGivesItsCache(t *testing.T) {
+	p := pool(4)
+	first := choose(t, p, 0, placement.Want{Key: 7}).Engine
+	p.Started(first.ID)
+	list := engines(4)
+	for i := range list {
+		list[i].Draining = list[i].ID == first.ID
+	}
+	p.SetEngines(time.Second, list)
+	c := choose(t, p, time.Second, placement.Want{Key: 7})
+	require.NotEqual(t, first.ID, c.Engine.ID)
+	require.Equal(t, first.Addr, c.FetchFrom)
+	require.Equal(t, 3, p.Len())
+}
+
+// Guards against requests without a key that pile up at one engine or leave their data centre for nothing.
+func TestLeastLoadedPrefersLocalEngines(t *testing.T) {
+	p := pool(4)
+	w := placement.Want{DataCentre: "dc0"}
+	require.Equal(t, fleet.DataCentre("dc0"), choose(t, p, 0, w).Engine.DataCentre)
+	counts := map[fleet.EngineID]int{}
+	for range 40 {
+		c := choose(t, p, 0, w)
+		p.Started(c.Engine.ID)
+		counts[c.Engine.ID]++
+	}
+	for id, n := range counts {
+		require.InDelta(t, 10, n, 2, id)
+	}
+}
+
+// Guards against an engine that can't be reached and still gets work, and against one that never does again.
+func TestUnreachableEngineIsPausedForAWhile(t *testing.T) {
+	p := pool(2)
+	for range 3 {
+		p.Failed(0, "e0", placement.Unreachable, 0)
+	}
+	require.True(t, p.Paused(0, "e0"))
+	for range 10 {
+		require.Equal(t, fleet.EngineID("e1"), choose(t, p, 0, placement.Want{DataCentre: "dc0"}).Engine.ID)
+	}
+	later := 5 * time.Second
+	require.Equal(t, fleet.EngineID("e0"), choose(t, p, later, placement.Want{DataCentre: "dc0"}).Engine.ID)
+	// A request that can't be sent twice leaves the first try to others.
+	require.Equal(t, fleet.EngineID("e1"), choose(t, p, later, placement.Want{DataCentre: "dc0", Proven: true}).Engine.ID)
+	p.Succeeded(later, "e0", 0, 0)
+	require.Equal(t, fleet.EngineID("e0"), choose(t, p, later, placement.Want{DataCentre: "dc0", Proven: true}).Engine.ID)
+}
+
+// Guards against an engine that fails requests although its health check is good, and against
+// pausing engines for failures that are usual everywhere.
+func TestFailingEngineStandsOut(t *testing.T) {
+	p := pool(4)
+	now := time.Duration(0)
+	for i := range 40 {
+		now += 50 * time.Millisecond
+		if i%2 == 0 {
+			p.Failed(now, "e0", placement.Errored, 0.02)
+		} else {
+			p.Succeeded(now, "e0", 0, 0)
+		}
+	}
+	require.True(t, p.Paused(now, "e0"))
+	for i := range 40 {
+		now += 50 * time.Millisecond
+		if i%7 == 0 {
+			p.Failed(now, "e1", placement.Errored, 0.14)
+		} else {
+			p.Succeeded(now, "e1", 0, 0)
+		}
+	}
+	require.False(t, p.Paused(now, "e1"))
+}
+
+// Guards against a pool that is emptied because a fault elsewhere makes all engines fail.
+func TestAtMostHalfOfAPoolIsPausedForFailures(t *testing.T) {
+	p := pool(4)
+	for range 20 {
+		for _, e := range engines(4) {
+			p.Failed(time.Second, e.ID, placement.Broke, 0)
+		}
+	}
+	paused := 0
+	for _, e := range engines(4) {
+		if p.Paused(time.Second, e.ID) {
+			paused++
+		}
+	}
+	require.LessOrEqual(t, paused, 2)
+}
+
+// Guards against a refusal while an engine could still be tried.
+func TestLastResort(t *testing.T) {
+	p := pool(2)
+	p.Failed(0, "e0", placement.Unreachable, 0)
+	p.Failed(10*time.Millisecond, "e1", placement.Unreachable, 0)
+	c := choose(t, p, 20*time.Millisecond, placement.Want{})
+	require.Equal(t, placement.LastResort, c.Reason)
+	require.Equal(t, fleet.EngineID("e0"), c.Engine.ID)
+	_, ok := p.Choose(0, placement.Want{Exclude: []fleet.EngineID{"e0", "e1"}})
+	require.False(t, ok)
+	_, ok = pool(0).Choose(0, placement.Want{Key: 1})
+	require.False(t, ok)
+}
+
+// Guards against a slow engine that gets its share of requests.
+func TestSlowEngineGetsLess(t *testing.T) {
+	p := pool(4)
+	for range 20 {
+		p.Succeeded(0, "e0", 100*time.Millisecond, 20*time.Millisecond)
+		for _, id := range []fleet.EngineID{"e1", "e2", "e3"} {
+			p.Succeeded(0, id, 20*time.Millisecond, 20*time.Millisecond)
+		}
+	}
+	counts := map[fleet.EngineID]int{}
+	for range 60 {
+		c := choose(t, p, 0, placement.Want{})
+		p.Started(c.Engine.ID)
+		counts[c.Engine.ID]++
+	}
+	require.Less(t, counts["e0"], 10)
+}
