--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,9 +34,10 @@
 	pruneInterval = time.Second
 	// exitMargin is the part of the stop grace that is left for closing connections.
 	exitMargin = 300 * time.Millisecond
-	// peerBudget is the control bytes per second. It is above the 12 KB/s of the size in
-	// docs/CAPACITY.md so that a configuration of 100 KB reaches its requesters at once.
-	peerBudget = 256 << 10
+	// peerBudget bounds the control bytes per second. The usual traffic is far below; while
+	// configurations change in quick succession an instance passes on four packed ones of 15 KB
+	// four times a second. A weak machine's link carries 1.25 MB/s.
+	peerBudget = 768 << 10
 )
 
 // Options are what a gateway needs beside its settings.
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -17,9 +17,13 @@
 	// fanout is the number of instances to which each node of the tree passes a large value on.
 	// With four, 82 instances are reached in four steps.
 	fanout = 4
-	// treeDelay is the time by which each further watcher starts its tree later. When the trees
-	// before it worked, its first receivers stop it.
+	// trees is the number of watchers that start a tree, in case that the first one fails.
+	trees = 2
+	// treeDelay is the time by which the second watcher starts its tree later.
 	treeDelay = 300 * time.Millisecond
+	// treeInterval is the shortest time between two trees for one key. Configurations may come in
+	// quick succession, and each is tens of kilobytes on every link of the tree.
+	treeInterval = 250 * time.Millisecond
 	// offerPatience is how long an instance waits for a large value on a tree before it asks the
 	// instance that offered it. It outlasts the tree of the last watcher.
 	offerPatience = 900 * time.Millisecond
@@ -34,8 +38,10 @@
 type relayState struct {
 	// offers holds large values that peers have told of and not sent.
 	offers map[string]offer
-	// trees holds large values whose trees this instance starts later.
-	trees []laterTree
+	// trees holds, by key, the large value whose tree this instance starts next, and started when
+	// it last did so.
+	trees   map[string]laterTree
+	started map[string]time.Duration
 	// packed holds the last packed value of each key.
 	packed map[string]wire.StoreFact
 	// laggingSince is when this instance was first found to lack something, or 0.
@@ -44,8 +50,8 @@
 }
 
 type laterTree struct {
-	at    time.Duration
-	facts []wire.StoreFact
+	at   time.Duration
+	fact wire.StoreFact
 }
 
 type offer struct {
@@ -57,51 +63,65 @@
 func (s *relayState) init() {
 	s.offers = make(map[string]offer)
 	s.packed = make(map[string]wire.StoreFact)
+	s.trees = make(map[string]laterTree)
+	s.started = make(map[string]time.Duration)
 }
 
 // relay tells peers what this instance read from the store. Large values travel along a tree that
-// the first watcher starts at once; the others offer them and start theirs later, in case that one
-// fails.
+// the first watcher starts at once and the second one later; both and the others offer them too.
 func (r *Router) relay(fresh []replica.Fact) {
-	var small, large []wire.StoreFact
+	if len(fresh) == 0 {
+		return
+	}
+	m := &wire.StoreFacts{}
 	for _, f := range fresh {
 		if len(f.Value) < largeBytes {
-			small = append(small, wireFact(f))
+			m.Facts = append(m.Facts, wireFact(f))
 			continue
 		}
-		large = append(large, r.pack(f))
-		if r.store.rank > 0 {
-			small = append(small, wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true})
+		m.Facts = append(m.Facts, wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true})
+		if r.store.rank < trees {
+			r.planTree(f)
 		}
 	}
-	if len(small) > 0 {
-		r.broadcast(&wire.StoreFacts{Facts: small})
+	r.broadcast(m)
+	r.startTrees()
+}
+
+// planTree schedules the tree of a value in place of that of an older one.
+func (r *Router) planTree(f replica.Fact) {
+	at := r.now + time.Duration(r.store.rank)*treeDelay
+	if started, ok := r.relays.started[f.Key]; ok {
+		at = max(at, started+treeInterval)
 	}
-	if len(large) > 0 {
-		r.relays.trees = append(r.relays.trees, laterTree{at: r.now + time.Duration(r.store.rank)*treeDelay, facts: large})
-		r.startTrees()
+	if planned, ok := r.relays.trees[f.Key]; ok {
+		at = min(at, planned.at)
 	}
+	r.relays.trees[f.Key] = laterTree{at: at, fact: r.pack(f)}
 }
 
-// startTrees starts the trees that are due.
+// startTrees starts the trees that are due. Their order differs, so that an instance that can't
+// be reached does not hide the same others from each of them.
 func (r *Router) startTrees() {
-	later := r.relays.trees[:0]
-	for _, t := range r.relays.trees {
-		if r.now >= t.at {
-			r.spread(t.facts, r.linkedPeers())
+	for key, t := range r.relays.trees {
+		if r.now < t.at {
 			continue
 		}
-		later = append(later, t)
+		delete(r.relays.trees, key)
+		r.relays.started[key] = r.now
+		to := r.linkedPeers()
+		r.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+		r.spread([]wire.StoreFact{t.fact}, to)
 	}
-	r.relays.trees = later
 }
 
 // spread passes facts on to instances along a tree.
 func (r *Router) spread(facts []wire.StoreFact, to []fleet.InstanceID) {
 	reachable := slices.DeleteFunc(slices.Clone(to), func(id fleet.InstanceID) bool { return r.members.linked[id] == nil })
-	for branch := range min(fanout, len(reachable)) {
-		first := branch * len(reachable) / min(fanout, len(reachable))
-		end := (branch + 1) * len(reachable) / min(fanout, len(reachable))
+	branches := min(fanout, len(reachable))
+	for branch := range branches {
+		first := branch * len(reachable) / branches
+		end := (branch + 1) * len(reachable) / branches
 		r.emit(SendMessage{To: reachable[first], Message: &wire.StoreFacts{Facts: facts, Relay: reachable[first+1 : end]}})
 	}
 }
@@ -126,10 +146,9 @@
 	return w
 }
 
-// factsReceived merges what a peer tells. It passes on what is new to this instance; for the rest
-// it has done so before.
+// factsReceived merges what a peer tells, and passes it on along its tree.
 func (r *Router) factsReceived(from fleet.InstanceID, m *wire.StoreFacts) {
-	if len(m.Relay) > 0 && slices.ContainsFunc(m.Facts, r.lacks) {
+	if len(m.Relay) > 0 {
 		r.spread(m.Facts, m.Relay)
 	}
 	var facts []replica.Fact
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -54,7 +54,8 @@
 	return f, ok && !f.Deleted
 }
 
-// Merge takes facts that are newer than those held, and returns these in order of revision.
+// Merge takes facts that are newer than those held, and returns these in order of revision. Of
+// several facts about one key only the newest is returned.
 func (r *Replica) Merge(facts []Fact) []Fact {
 	var fresh []Fact
 	for _, f := range facts {
@@ -62,6 +63,7 @@
 			fresh = append(fresh, f)
 		}
 	}
+	fresh = slices.DeleteFunc(fresh, func(f Fact) bool { return r.facts[f.Key].Revision != f.Revision })
 	slices.SortStableFunc(fresh, func(a, b Fact) int { return cmp.Compare(a.Revision, b.Revision) })
 	return fresh
 }
