--- a/cmd/bilberrywelld/gateway.go
+++ b/cmd/bilberrywelld/gateway.go
@@ -32,7 +32,7 @@
 	}
 	sink := logsink.New(os.Stdout, s.LogLines)
 	defer sink.Close()
-	klog.SetLogger(logr.New(sink))
+	klog.SetLogger(logr.New(sink).WithValues("instance", s.Instance))
 	g, err := gateway.New(gateway.Options{
 		Settings: s,
 		Reload: func() (gateway.Settings, error) {
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -57,9 +57,11 @@
 // App is the command line program with its surroundings.
 type App struct {
 	Stdout, Stderr io.Writer
-	Getenv         func(string) string
-	Now            func() time.Time
-	Random         io.Reader
+	// Stdin is read by commands that take files when none is named.
+	Stdin  io.Reader
+	Getenv func(string) string
+	Now    func() time.Time
+	Random io.Reader
 	// Sleep waits for d or until ctx ends.
 	Sleep func(ctx context.Context, d time.Duration)
 	// Connect returns the platform's services at a base URL.
@@ -69,7 +71,7 @@
 // New returns an App on the real clock, environment and platform.
 func New(stdout, stderr io.Writer) *App {
 	return &App{
-		Stdout: stdout, Stderr: stderr, Getenv: os.Getenv, Now: time.Now, Random: rand.Reader, Sleep: sleep,
+		Stdout: stdout, Stderr: stderr, Stdin: os.Stdin, Getenv: os.Getenv, Now: time.Now, Random: rand.Reader, Sleep: sleep,
 		Connect: func(baseURL string) (platform.Store, platform.Directory) {
 			client := platform.NewHTTP(baseURL, nil)
 			return client, client
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -75,6 +75,13 @@
 			},
 			run: (*call).stop,
 		},
+		{
+			name: "explain", args: "ID [FILE...]", summary: "tell from logs what happened to a request", least: 1, most: -1,
+			detail: `Reads the logs of gateways from files, or from standard input, and prints every decision
+about the request with the id over all instances, the decisions about its engines around
+that time, which lines are missing, and the cause of its end in a sentence.`,
+			run: (*call).explain,
+		},
 		{
 			name: "keygen", summary: "make an API key and print its digest",
 			detail: "The key goes to the customer, the digest into the customer's file. The key is not stored.",
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,67 @@
+package explain_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/internal/explain"
+)
+
+// line returns a log line at a second and a half of it, with a collector's prefix.
+func line(second int, instance, message, fields string) string {
+	return fmt.Sprintf(`  %d.5000 %s {"time":"2026-01-17T19:00:%02d.500000Z","level":"info","msg":%q,"instance":%q%s}`, second, instance, second, message, instance, fields)
+}
+
+func report(t *testing.T, id string, lines ...string) explain.Report {
+	var logs explain.Logs
+	require.NoError(t, logs.Read(strings.NewReader(strings.Join(lines, "\n")+"\nno json here {\n")))
+	return logs.Request(id)
+}
+
+// Guards against a cause that does not fit the request's last decision.
+func TestCauses(t *testing.T) {
+	sent := line(1, "a", "attempt_sent", `,"request":"r","engine":"e1"`)
+	for name, c := range map[string]struct {
+		end  string
+		want string
+	}{
+		"answered": {line(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"completed","ms":12`), "answered in full by engine e1, after 12 ms"},
+		"failed":   {line(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"completed","failed":true,"ms":12`), "failed it"},
+		"left":     {line(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"caller_left","ms":12`), "the caller left while"},
+		"cut off":  {"", "in flight when the log ended"},
+	} {
+		t.Run(name, func(t *testing.T) { require.Contains(t, report(t, "r", c.end, sent).Cause, c.want) })
+	}
+	refused := report(t, "r", sent,
+		line(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"broken","ms":12`),
+		line(2, "a", "call_refused", `,"request":"r","code":"engine_lost","config":7,"age_ms":20`))
+	require.Contains(t, refused.Cause, "may not run twice; tried: e1 (broken); configuration 7, after 20 ms")
+	require.Empty(t, refused.Missing)
+}
+
+// Guards against a report that hides what the logs lack.
+func TestMissingLinesAreNamed(t *testing.T) {
+	r := report(t, "r", line(1, "a", "attempt_sent", `,"request":"r","engine":"e1"`),
+		line(2, "a", "log lines dropped", `,"attempt_ended":3`))
+	require.Len(t, r.Missing, 3)
+	require.Contains(t, r.Missing[2], "instance a dropped log lines")
+	require.Contains(t, report(t, "unknown", line(1, "a", "started", "")).Cause, "no line names the request")
+}
+
+// Guards against a report without the decisions about the engine that failed the request.
+func TestContextHoldsTheEnginesDecisions(t *testing.T) {
+	r := report(t, "r",
+		line(1, "a", "engine_paused", `,"engine":"e1","failure":"broke"`),
+		line(1, "b", "engine_paused", `,"engine":"e2"`),
+		line(1, "a", "store_lost", ``),
+		line(2, "a", "attempt_sent", `,"request":"r","engine":"e1"`),
+		line(30, "a", "engine_paused", `,"engine":"e1"`))
+	require.Len(t, r.Context, 2)
+	var b strings.Builder
+	require.NoError(t, r.Write(&b))
+	require.Contains(t, b.String(), "engine_paused          engine=e1 failure=broke")
+	require.Contains(t, b.String(), "> 19:00:02.500000 a")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,7 +258,7 @@
 	g.tasks.Go(g.loop)
 	g.tasks.Go(g.watchStore)
 	g.tasks.Go(g.keepPresence)
-	klog.InfoS("started", "instance", g.settings.Instance, "release", g.options.Release, "callers", g.settings.CallerAddr,
+	klog.InfoS("started", "release", g.options.Release, "callers", g.settings.CallerAddr,
 		"peers", g.settings.PeerAddr, "store", g.settings.StoreAddr)
 	<-ctx.Done()
 	g.draining.Store(true)
@@ -268,10 +268,10 @@
 	select {
 	case <-g.drained:
 	case <-deadline.C:
-		klog.InfoS("stop grace ended with requests in flight", "instance", g.settings.Instance)
+		klog.InfoS("stop grace ended with requests in flight")
 	}
 	g.stop(servers)
-	klog.InfoS("stopped", "instance", g.settings.Instance)
+	klog.InfoS("stopped")
 	return nil
 }
 
@@ -315,13 +315,13 @@
 func (g *Gateway) Reload() {
 	s, err := g.options.Reload()
 	if err != nil {
-		klog.ErrorS(err, "settings not reloaded, the last good ones stay", "instance", g.settings.Instance)
+		klog.ErrorS(err, "settings not reloaded, the last good ones stay")
 		return
 	}
 	g.mu.Lock()
 	g.router.Reconfigure(routerConfig(s, g.options.Format))
 	g.mu.Unlock()
-	klog.InfoS("settings reloaded", "instance", g.settings.Instance)
+	klog.InfoS("settings reloaded")
 }
 
 // server is one listener with its handler.
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -111,7 +111,7 @@
 			backoff.Reset()
 			continue
 		case errors.Is(err, platform.ErrCompacted):
-			klog.InfoS("store history is compacted, listing again", "instance", g.settings.Instance, "after", at)
+			klog.InfoS("store history is compacted, listing again", "after", at)
 			listed, stale = false, false
 			continue
 		}
@@ -175,7 +175,7 @@
 		case errors.Is(err, platform.ErrNotFound):
 			lease = 0
 		default:
-			klog.InfoS("presence not renewed", "instance", g.settings.Instance, "error", err.Error())
+			klog.InfoS("presence not renewed", "error", err.Error())
 			sleep(g.ctx, backoff.Next(random))
 		}
 	}
