--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 BIN := bin
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
-.PHONY: build test fmt vet staticcheck unit demo bench capacity clean
+.PHONY: build test fmt vet staticcheck unit demo bench capacity soak clean
+
+# First seed and number of seeds of the soak.
+SEED ?= 1
+SEEDS ?= 10
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
@@ -36,5 +40,10 @@
 bench:
 	$(GO) run ./internal/bench/bench
 
+# Plays seeds of the fault soak against the platform's stand-ins; see docs/faults.md.
+soak: build
+	$(GO) build -o $(BIN)/ ./platform/soak/soak
+	$(BIN)/soak -binary $(BIN)/bilberrywelld -seed $(SEED) -seeds $(SEEDS)
+
 clean:
 	rm -rf $(BIN) out
