--- a/cmd/bilberrywelld/gateway.go
+++ b/cmd/bilberrywelld/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,6 +21,10 @@
 // storeDialTimeout bounds the time to open a connection to the store.
 const storeDialTimeout = time.Second
 
+// gatewayGCPercent trades processor time for memory: an instance allocates little and its memory
+// costs more than its processor time.
+const gatewayGCPercent = 30
+
 // runGateway runs the daemon as a gateway until SIGTERM or SIGINT. SIGHUP reloads the settings.
 func runGateway(path string, checkOnly bool) int {
 	s, findings := gateway.LoadSettings(path)
@@ -30,6 +35,7 @@
 	if checkOnly {
 		return exitOK
 	}
+	debug.SetGCPercent(gatewayGCPercent)
 	sink := logsink.New(os.Stdout, s.LogLines)
 	defer sink.Close()
 	klog.SetLogger(logr.New(sink).WithValues("instance", s.Instance))
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -144,8 +144,9 @@
 	return at, nil
 }
 
-// changePause is the least time between two calls for changes.
-const changePause = 100 * time.Millisecond
+// changePause is the least time between two calls for changes. Engines and instances that start
+// together would otherwise cost every watcher a call each; configurations have two seconds.
+const changePause = 250 * time.Millisecond
 
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
