--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/router"
@@ -49,6 +50,9 @@
 	x    *upstream.Exchange
 	head AnswerHead
 	end  router.AttemptEnded
+	// stall ends the attempt when the engine is silent for too long; stalled tells that it did.
+	stall   *time.Timer
+	stalled atomic.Bool
 }
 
 // attempt sends the request to an engine and passes on the answer.
@@ -56,6 +60,13 @@
 	ctx, cancel := c.callContext(cmd.Until)
 	defer cancel()
 	a := &attempt{caller: c, cmd: cmd, ctx: ctx, sent: c.g.now(), end: router.AttemptEnded{Call: c.id}}
+	if cmd.FirstWithin > 0 {
+		a.stall = time.AfterFunc(cmd.FirstWithin, func() {
+			a.stalled.Store(true)
+			cancel()
+		})
+		defer a.stall.Stop()
+	}
 	a.run()
 	a.end.Delivered = c.started
 	return a.end
@@ -78,9 +89,21 @@
 	}
 	a.end.FirstByte = a.g.now() - a.sent
 	a.end.Load = a.head.Load
+	a.progressed()
 	a.receive()
 }
 
+// progressed starts the wait for the next part of the answer.
+func (a *attempt) progressed() {
+	switch {
+	case a.stall == nil:
+	case a.cmd.NextWithin > 0:
+		a.stall.Reset(a.cmd.NextWithin)
+	default:
+		a.stall.Stop()
+	}
+}
+
 // request builds the engine's copy of the request.
 func (a *attempt) request() *upstream.Request {
 	header := a.r.Header.Clone()
@@ -131,6 +154,8 @@
 	switch {
 	case a.callerLeft():
 		outcome = router.CallerLeft
+	case a.stalled.Load() && outcome != router.Unsent:
+		outcome = router.Stalled
 	case outcome != router.Unsent && (a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)):
 		outcome = router.TimedOut
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,6 +26,7 @@
 	for {
 		n, err := a.x.Read(buffer)
 		pending = append(pending, buffer[:n]...)
+		a.progressed()
 		if end := lastEventEnd(pending); end > 0 {
 			if !a.passEvents(pending[:end]) {
 				return
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -47,7 +47,7 @@
 		r.repeatOr(c, func() { r.giveUp(c, ev.Outcome.String()) })
 	case Errored:
 		r.repeatOr(c, func() { r.deliver(c) })
-	case Broken:
+	case Broken, Stalled:
 		r.repeatOr(c, func() { r.refuse(c, MayHaveRun, "engine_lost", 0) })
 	}
 }
@@ -137,6 +137,8 @@
 	case Broken:
 		r.engineFailed(c, pool, placement.Broke, stats)
 		r.suspect(c)
+	case Stalled:
+		r.engineFailed(c, pool, placement.Silent, stats)
 	case TimedOut:
 		if ev.FirstByte == 0 {
 			r.engineFailed(c, pool, placement.Silent, stats)
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -136,7 +136,10 @@
 	c.reason = choice.Reason
 	c.sentAt = r.now
 	pool.engines.Started(c.engine)
+	first, next := r.stallLimits(c, pool)
 	r.emit(Send{
+		FirstWithin: first,
+		NextWithin:  next,
 		Call:        c.ID,
 		Engine:      choice.Engine,
 		Route:       c.route,
@@ -151,6 +154,34 @@
 		"mean", choice.Mean, "try", len(c.tried)+1, "config", r.table.Version, "fetch", choice.FetchFrom)
 }
 
+const (
+	// stallFactor is the multiple of a route's usual latency from which an answer counts as lost.
+	// Work times vary by about half of their mean.
+	stallFactor = 3
+	// earliestStall and latestStall bound the wait as parts of the route's target latency: another
+	// attempt begun later would hardly be on time.
+	earliestStall = 0.3
+	latestStall   = 0.6
+	// gapShare is the part of the longest pause that is on time after which a stream moves on.
+	gapShare = 0.75
+	// stallReserve is the number of further attempts that must be left in the budget before an
+	// engine that may only be slow is given up for another one.
+	stallReserve = 3
+)
+
+// stallLimits returns how long an attempt waits for the head of the answer and between events. It
+// is zero where no other attempt may follow.
+func (r *Router) stallLimits(c *call, pool *servicePool) (first, next time.Duration) {
+	usual := r.statsOf(c.route.Name).latency
+	target := float64(c.route.TargetLatency)
+	if !c.route.Repeatable() || !r.mayRepeat(c, 1) || pool.engines.Len() < 2 || usual == 0 || target == 0 ||
+		pool.budget.Left(r.now) < stallReserve {
+		return 0, 0
+	}
+	first = time.Duration(min(max(stallFactor*float64(usual), earliestStall*target), latestStall*target))
+	return first, time.Duration(gapShare * float64(c.route.TargetGap))
+}
+
 // giveUp ends a request for which no attempt is left.
 func (r *Router) giveUp(c *call, code string) {
 	if c.runs > 0 {
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -35,6 +35,10 @@
 	HoldFailure bool
 	// Resume asks the engine to go on after the last delivered event.
 	Resume bool
+	// FirstWithin and NextWithin are the longest waits for the head of the answer and between its
+	// parts, after which the attempt ends as Stalled; 0 waits until Until.
+	FirstWithin time.Duration
+	NextWithin  time.Duration
 }
 
 // Refusal is the kind of a final answer without an engine's.
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -61,6 +61,8 @@
 	Errored
 	// Broken: the connection or the answer broke after the request was sent.
 	Broken
+	// Stalled: the engine was silent for longer than the attempt waits.
+	Stalled
 	// TimedOut: the time for the request ended.
 	TimedOut
 	// CallerLeft: the caller closed its connection.
@@ -69,7 +71,7 @@
 
 // String returns the outcome's name as used in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"none", "completed", "unsent", "rejected", "misdirected", "errored", "broken", "timed_out", "caller_left"}[o]
+	return [...]string{"none", "completed", "unsent", "rejected", "misdirected", "errored", "broken", "stalled", "timed_out", "caller_left"}[o]
 }
 
 // AttemptEnded reports how an attempt ended.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -29,7 +29,7 @@
 	}
 	route := func(prefix string, kind routing.Kind, attempts int, resumable bool) routing.Route {
 		return routing.Route{
-			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: time.Second, MaxAttempts: attempts, Resumable: resumable,
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable,
 			Shares: []routing.Share{{Service: "s", Weight: 1}}, Affinity: kind == routing.Streaming, Anonymous: true,
 		}
 	}
@@ -119,7 +119,7 @@
 		{"/post/x", Unsent, again}, {"/post/x", Rejected, again}, {"/post/x", Misdirected, again},
 		{"/post/x", Errored, deliver}, {"/post/x", Broken, MayHaveRun}, {"/post/x", TimedOut, TooLate},
 		{"/plan/x", Rejected, again}, {"/plan/x", Broken, MayHaveRun},
-		{"/chat/x", Broken, again}, {"/chat/x", Errored, again},
+		{"/chat/x", Broken, again}, {"/chat/x", Errored, again}, {"/chat/x", Stalled, again}, {"/get/x", Stalled, again},
 	} {
 		t.Run(c.path+" "+c.outcome.String(), func(t *testing.T) {
 			s := newSession(t, 5)
@@ -140,6 +140,23 @@
 	}
 }
 
+// Guards against a lost answer that is waited for although another engine could still be on time,
+// and against giving up an engine where no other attempt may follow.
+func TestStallLimits(t *testing.T) {
+	s := newSession(t, 3)
+	require.Zero(t, s.call("/get/x").FirstWithin, "nothing is usual yet")
+	s.step(AttemptEnded{Call: s.last, Outcome: Completed, FirstByte: 20 * time.Millisecond})
+	require.Equal(t, 60*time.Millisecond, s.call("/get/x").FirstWithin)
+	s.end(Stalled)
+	require.Zero(t, must[Send](s).FirstWithin, "the last attempt waits")
+	s.call("/post/x")
+	s.step(AttemptEnded{Call: s.last, Outcome: Completed, FirstByte: 20 * time.Millisecond})
+	require.Zero(t, s.call("/post/x").FirstWithin)
+	s.r.cfg.RetryReserve = 0
+	s.r.shareBudgets()
+	require.Zero(t, s.call("/get/x").FirstWithin, "the budget is used up")
+}
+
 // Guards against a third engine for a request that may run on two.
 func TestMaxAttempts(t *testing.T) {
 	s := newSession(t, 5)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -58,6 +58,8 @@
 	Timeout time.Duration
 	// TargetLatency is the time in which an answer, or the first event of a stream, is on time.
 	TargetLatency time.Duration
+	// TargetGap is the longest pause between events for which a stream is on time; 0 if it is not declared.
+	TargetGap time.Duration
 	// Priority is the rank of the route's requests; 0 is the most urgent.
 	Priority int
 	Shares   []Share
