--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -36,7 +36,6 @@
 	held *heldAnswer
 	// lastEvent is the id of the last event that was passed on, or that the caller named.
 	lastEvent string
-	buffer    []byte
 }
 
 // serveCall serves one request.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -108,9 +108,6 @@
 	p.heard = r.now
 	r.shareLoads()
 	r.compare(from, m)
-	if !m.StoreLost && r.store.listed == false && m.Newest > 0 {
-		r.store.listed = true
-	}
 }
 
 // shareLoads gives the pools what other instances run.
@@ -149,7 +146,7 @@
 	}
 	on := true
 	order := affinity.Rank(fleet.Hash("watchers"), candidates)
-	if r.table != nil && r.store.listed && len(candidates) > watchers {
+	if r.informed() && len(candidates) > watchers {
 		on = slices.Contains(order[:watchers], 0)
 	}
 	r.store.rank = min(slices.Index(order, 0), watchers)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -264,6 +264,23 @@
 	require.False(t, must[SetReady](s).Ready)
 }
 
+// Guards against an instance that starts while the store is down and stays idle although its peers
+// know everything.
+func TestStartsFromPeers(t *testing.T) {
+	s := &session{t: t, r: New(Config{Instance: "i1", Seeds: []string{"i2"}, Format: fakeFormat{}})}
+	s.step(Tick{})
+	require.Equal(t, fleet.InstanceID("i2"), must[SetPeers](s).Peers[0].ID)
+	s.step(StoreLost{Err: errors.New("refused")})
+	s.step(PeerUp{Instance: "i2", Incarnation: 1})
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.Standing{Sequence: 1, Newest: 9, Digest: 1}})
+	require.True(t, s.sent(wire.KindFactsRequest)[0].Message.(*wire.FactsRequest).All)
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{
+		{Key: "config", Revision: 2, Value: []byte("1")}, {Key: "engines/e1", Revision: 3, Value: []byte("ready")},
+	}}})
+	require.True(t, must[SetReady](s).Ready)
+	require.Equal(t, fleet.EngineID("e1"), s.call("/get/x").Engine.ID)
+}
+
 // Guards against a stop that cuts off requests, or that takes requests until it is killed.
 func TestDrain(t *testing.T) {
 	s := newSession(t, 1)
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -19,7 +19,7 @@
 	rank   int
 	lost   bool
 	lostAt time.Duration
-	// listed tells that keys were listed at least once, by this instance or a peer.
+	// listed tells that this instance has listed the keys at least once.
 	listed bool
 }
 
@@ -218,9 +218,15 @@
 	}
 }
 
+// informed reports whether the instance knows a configuration and engines, from the store or from
+// peers.
+func (r *Router) informed() bool {
+	return r.table != nil && (r.store.listed || r.registry.Len() > 0)
+}
+
 // updateReady reports ready once requests can be routed.
 func (r *Router) updateReady() {
-	ready := r.table != nil && r.store.listed && !r.drain.active
+	ready := r.informed() && !r.drain.active
 	if ready != r.ready {
 		r.ready = ready
 		r.emit(SetReady{Ready: ready})
