--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,166 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
+)
+
+// engine serves connections with a script and returns its address.
+func engine(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// read reads one request; it returns false when there is none.
+func read(r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+func exchange(t *testing.T, p *upstream.Pool, addr string, body int) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	conn, err := p.Get(ctx, addr)
+	require.NoError(t, err)
+	x, err := p.Do(ctx, conn, &upstream.Request{
+		Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("b", body)),
+	}, func(res *http.Response) bool { return res.Header.Get("Id") == "mine" })
+	if err != nil {
+		return "", err
+	}
+	data, err := io.ReadAll(x)
+	if err != nil {
+		x.Abort()
+		return "", err
+	}
+	x.Finish()
+	return string(data), nil
+}
+
+const mine = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against answers of other requests, interim answers, and answers cut short.
+func TestAnswers(t *testing.T) {
+	for name, c := range map[string]struct{ raw, want string }{
+		"plain":               {mine, "ok"},
+		"interim first":       {"HTTP/1.1 100 Continue\r\n\r\n" + mine, "ok"},
+		"foreign first":       {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nbad" + mine, "ok"},
+		"chunked":             {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok"},
+		"unframed":            {"HTTP/1.1 200 OK\r\nId: mine\r\n\r\nok", "ok"},
+		"short":               {"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 9\r\n\r\nok", ""},
+		"chunks without end":  {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", ""},
+		"no protocol":         {"hello\r\n\r\n", ""},
+		"nothing":             {"", ""},
+		"foreign without end": {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n" + mine, ""},
+		"foreign only":        {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nbad", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := engine(t, func(conn net.Conn, r *bufio.Reader) {
+				if read(r) {
+					_, _ = io.WriteString(conn, c.raw)
+				}
+			})
+			got, err := exchange(t, upstream.NewPool(nil), addr, 3)
+			require.Equal(t, c.want, got)
+			require.Equal(t, c.want == "", err != nil)
+		})
+	}
+}
+
+// Guards against a request that is sent on a connection that is closed or holds stray bytes.
+func TestIdleConnectionIsCheckedBeforeUse(t *testing.T) {
+	conns := make(chan struct{}, 10)
+	stray := make(chan struct{})
+	addr := engine(t, func(c net.Conn, r *bufio.Reader) {
+		conns <- struct{}{}
+		if read(r) {
+			_, _ = io.WriteString(c, mine)
+			<-stray
+			_, _ = io.WriteString(c, mine)
+			time.Sleep(time.Second)
+		}
+	})
+	p := upstream.NewPool(nil)
+	_, err := exchange(t, p, addr, 3)
+	require.NoError(t, err)
+	close(stray)
+	time.Sleep(50 * time.Millisecond)
+	_, err = exchange(t, p, addr, 3)
+	require.NoError(t, err)
+	require.Len(t, conns, 2)
+}
+
+// Guards against connections that are opened for every request.
+func TestConnectionIsReused(t *testing.T) {
+	conns := make(chan struct{}, 10)
+	addr := engine(t, func(c net.Conn, r *bufio.Reader) {
+		conns <- struct{}{}
+		for read(r) {
+			_, _ = io.WriteString(c, mine)
+		}
+	})
+	p := upstream.NewPool(nil)
+	for range 5 {
+		_, err := exchange(t, p, addr, 20_000)
+		require.NoError(t, err)
+	}
+	require.Len(t, conns, 1)
+	p.Close()
+}
+
+// Guards against an engine that answers before it reads a long body and blocks the exchange.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	addr := engine(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(c, mine)
+		time.Sleep(time.Second)
+	})
+	began := time.Now()
+	got, err := exchange(t, upstream.NewPool(nil), addr, 32<<20)
+	require.NoError(t, err)
+	require.Equal(t, "ok", got)
+	require.Less(t, time.Since(began), 900*time.Millisecond)
+}
+
+// Guards against a request that counts as sent although nothing left, and the reverse.
+func TestSentOrNot(t *testing.T) {
+	addr := engine(t, func(_ net.Conn, r *bufio.Reader) { read(r) })
+	p := upstream.NewPool(nil)
+	_, err := exchange(t, p, addr, 3)
+	require.ErrorIs(t, err, upstream.ErrBroken)
+	ctx, cancel := context.WithCancel(context.Background())
+	conn, err := p.Get(ctx, addr)
+	require.NoError(t, err)
+	cancel()
+	_, err = p.Do(ctx, conn, &upstream.Request{Method: "GET", Target: "/", Header: http.Header{}}, nil)
+	require.True(t, errors.Is(err, upstream.ErrUnsent) && !errors.Is(err, upstream.ErrBroken))
+}
