--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,8 +31,12 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// errUnsigned reports a success that the engine does not vouch for.
-var errUnsigned = errors.New("success without a signature")
+var (
+	// errUnsigned reports a success that the engine does not vouch for.
+	errUnsigned = errors.New("success without a signature")
+	// errNotResumed reports a failure in place of the rest of a stream.
+	errNotResumed = errors.New("the stream was not resumed")
+)
 
 // heldAnswer is an engine's whole answer in memory.
 type heldAnswer struct {
@@ -171,6 +175,9 @@
 		a.rejected()
 	case res.StatusCode < 300 && !a.head.Signed:
 		a.fail(router.Broken, errUnsigned)
+	case a.started && res.StatusCode >= 300:
+		// The caller has a part of the stream; a failure's body would pass for the rest of it.
+		a.fail(router.Broken, errNotResumed)
 	case res.StatusCode < 300 && a.cmd.Route.Kind == routing.Streaming:
 		a.g.step(router.AttemptAnswered{Call: a.id, Load: a.head.Load})
 		a.stream()
