--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -109,8 +109,8 @@
 }
 
 // List implements platform.Keyspace.
-func (s countedStore) List(ctx context.Context, prefix string, stale bool) (platform.Listing, error) {
-	listing, err := s.Keyspace.List(ctx, prefix, stale)
+func (s countedStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	listing, err := s.Keyspace.List(ctx, prefix)
 	s.metrics.storeCall("list", err)
 	return listing, err
 }
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -94,12 +94,10 @@
 	random := rand.New(rand.NewPCG(g.incarnation, 1))
 	var at uint64
 	listed := false
-	// A stale list costs a tenth, and the changes after it are read right away.
-	stale := true
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
-			at, err = g.listKeys(ctx, stale)
+			at, err = g.listKeys(ctx)
 			listed = err == nil
 		} else {
 			at, err = g.awaitChanges(ctx, at)
@@ -112,7 +110,7 @@
 			continue
 		case errors.Is(err, platform.ErrCompacted):
 			klog.InfoS("store history is compacted, listing again", "after", at)
-			listed, stale = false, false
+			listed = false
 			continue
 		}
 		g.step(router.StoreLost{Err: err})
@@ -120,8 +118,8 @@
 	}
 }
 
-func (g *Gateway) listKeys(ctx context.Context, stale bool) (uint64, error) {
-	listing, err := g.store.List(ctx, "", stale)
+func (g *Gateway) listKeys(ctx context.Context) (uint64, error) {
+	listing, err := g.store.List(ctx, "")
 	if err != nil {
 		return 0, err
 	}
--- a/internal/platform/keyspace.go
+++ b/internal/platform/keyspace.go
@@ -42,8 +42,8 @@
 // Errors are ErrUnavailable (nothing was done), ErrUnknown (may have been done), ErrConflict (a
 // guard failed), ErrNotFound (no such lease) and ErrCompacted.
 type Keyspace interface {
-	// List reads all keys under a prefix. A stale list is cheaper and may be seconds old.
-	List(ctx context.Context, prefix string, stale bool) (Listing, error)
+	// List reads all keys under a prefix.
+	List(ctx context.Context, prefix string) (Listing, error)
 	// Changes waits at most wait for changes under a prefix after a revision. It returns them with
 	// the revision to continue from, and no changes when there were none.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]replica.Fact, uint64, error)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -215,11 +215,15 @@
 
 // load is the best estimate of the requests at an engine.
 func (p *Pool) load(now time.Duration, m *member) int {
-	known := m.own + m.others
+	return max(m.own+m.others, p.ownLoad(now, m))
+}
+
+// ownLoad is the load of an engine as this instance has seen it.
+func (p *Pool) ownLoad(now time.Duration, m *member) int {
 	if now < m.reportEnds {
-		return max(known, m.report.Running+m.report.Waiting)
+		return max(m.own, m.report.Running+m.report.Waiting)
 	}
-	return known
+	return m.own
 }
 
 // Choose returns an engine for a request, or false if none may take it.
@@ -331,8 +335,13 @@
 }
 
 // cost is the expected wait of one more request relative to an idle local engine of usual speed.
+// Without a cache key the load of other instances does not count: such requests last milliseconds
+// and are told of later, so that all instances would choose the same engine at once.
 func (p *Pool) cost(now time.Duration, m *member, w Want) float64 {
 	load := float64(p.load(now, m)) + 1
+	if w.Key == 0 {
+		load = float64(p.ownLoad(now, m)) + 1
+	}
 	if m.DataCentre != w.DataCentre && w.Key == 0 {
 		load += p.config.RemotePenalty
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -84,6 +84,23 @@
 	require.Equal(t, first, choose(t, p, time.Second, placement.Want{Key: 7}).Engine.ID, "the report is old")
 }
 
+// Guards against instances that all send short requests to the engine that was idle a second ago.
+func TestStaleLoadOfOthersDoesNotAttractShortRequests(t *testing.T) {
+	p := pool(4)
+	p.SetOthers(map[fleet.EngineID]int{"e0": 5, "e1": 5, "e2": 5})
+	counts := map[fleet.EngineID]int{}
+	for range 400 {
+		counts[choose(t, p, 0, placement.Want{DataCentre: "none"}).Engine.ID]++
+	}
+	for id, n := range counts {
+		require.InDelta(t, 100, n, 40, id)
+	}
+	p.Reported(0, "e3", placement.Load{Running: 4, Waiting: 2, Slots: 6})
+	for range 50 {
+		require.NotEqual(t, fleet.EngineID("e3"), choose(t, p, 0, placement.Want{DataCentre: "none"}).Engine.ID)
+	}
+}
+
 // Guards against a cold cache at an engine that has just joined.
 func TestNewEngineFetchesFromTheFormerOne(t *testing.T) {
 	p := pool(8)
