--- /dev/null
+++ b/internal/router/peers_test.go
@@ -0,0 +1,204 @@
+package router
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/replica"
+)
+
+// link opens links to n peers named i2, i3 and so on.
+func (s *session) link(n int) {
+	for i := range n {
+		id := fleet.InstanceID(fmt.Sprintf("i%d", i+2))
+		s.step(PeerUp{Instance: id, Incarnation: 1})
+		s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: 1, Newest: s.r.facts.Newest(), Digest: s.r.facts.Digest()}})
+	}
+	s.step(Tick{})
+}
+
+func (s *session) sent(kind wire.Kind) []SendMessage {
+	var list []SendMessage
+	for _, e := range s.out {
+		if m, ok := e.(SendMessage); ok && m.Message.Kind() == kind {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Guards against a fleet in which every instance reads every change from the store, and against
+// one in which nobody does.
+func TestFewInstancesWatchTheStore(t *testing.T) {
+	watching := 0
+	for i := range 12 {
+		s := newSession(t, 1)
+		s.r.cfg.Instance = fleet.InstanceID(fmt.Sprintf("i%d", i+1))
+		for j := range 12 {
+			if j == i {
+				continue
+			}
+			id := fleet.InstanceID(fmt.Sprintf("i%d", j+1))
+			s.step(PeerUp{Instance: id, Incarnation: 1})
+			s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: 1}})
+		}
+		s.step(Tick{})
+		if s.r.store.watching {
+			watching++
+		}
+	}
+	require.Equal(t, watchers, watching)
+}
+
+// Guards against an instance that goes on trusting watchers that have lost the store.
+func TestWatchesWhenOthersLostTheStore(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(10)
+	s.r.cfg.Instance = "not-a-watcher-3"
+	s.step(Tick{})
+	for i := range 10 {
+		id := fleet.InstanceID(fmt.Sprintf("i%d", i+2))
+		s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: 2, StoreLost: true}})
+	}
+	s.step(Tick{})
+	require.True(t, s.r.store.watching)
+}
+
+// Guards against a large configuration that one instance sends to the whole fleet.
+func TestLargeValueTravelsAlongATree(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(40)
+	s.r.store.rank = 0
+	large := []byte(strings.Repeat(" ", 20_000) + "9")
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: 300, Value: large}}, At: 300})
+	sent := s.sent(wire.KindStoreFacts)[40:]
+	require.Len(t, sent, fanout)
+	reached := map[fleet.InstanceID]bool{}
+	for _, m := range sent {
+		facts := m.Message.(*wire.StoreFacts)
+		require.True(t, facts.Facts[0].Packed)
+		require.Less(t, len(facts.Facts[0].Value), 1000)
+		reached[m.To] = true
+		for _, id := range facts.Relay {
+			reached[id] = true
+		}
+	}
+	require.Len(t, reached, 40)
+}
+
+// Guards against a configuration that is lost with the first watcher, and against copies of it
+// that circle in the fleet.
+func TestLaterWatchersRepeatTheTree(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(10)
+	s.r.store.rank = 1
+	large := []byte(strings.Repeat(" ", 20_000) + "9")
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: 300, Value: large}}, At: 300})
+	for _, m := range s.sent(wire.KindStoreFacts) {
+		require.True(t, m.Message.(*wire.StoreFacts).Facts[0].Withheld)
+	}
+	s.after(treeDelay)
+	s.step(Tick{})
+	started := s.sent(wire.KindStoreFacts)
+	require.Len(t, started, fanout)
+	other := newSession(t, 1)
+	other.link(10)
+	other.step(PeerMessage{From: "i2", Incarnation: 1, Message: started[0].Message})
+	require.Len(t, other.sent(wire.KindStoreFacts), len(started[0].Message.(*wire.StoreFacts).Relay))
+	require.Equal(t, uint64(9), other.r.table.Version)
+}
+
+// Guards against a large value that never arrives because its trees failed.
+func TestOfferedValueIsAskedFor(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(3)
+	s.step(PeerMessage{From: "i3", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "config", Revision: 300, Withheld: true}}}})
+	s.step(Tick{})
+	require.Empty(t, s.sent(wire.KindFactsRequest))
+	s.after(offerPatience)
+	s.step(Tick{})
+	asked := s.sent(wire.KindFactsRequest)
+	require.Len(t, asked, 1)
+	require.Equal(t, fleet.InstanceID("i3"), asked[0].To)
+}
+
+// Guards against one tree for each of many configurations in quick succession.
+func TestQuickChangesShareTrees(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(10)
+	started := 0
+	for i := range 20 {
+		s.after(50 * time.Millisecond)
+		s.r.store.rank = 0 // each tick elects anew
+		large := []byte(strings.Repeat(" ", 20_000) + strconv.Itoa(10+i))
+		s.step(KeysChanged{Facts: []replica.Fact{{Key: "config", Revision: uint64(300 + i), Value: large}}, At: uint64(300 + i)})
+		for _, m := range s.sent(wire.KindStoreFacts) {
+			if !m.Message.(*wire.StoreFacts).Facts[0].Withheld {
+				started++
+			}
+		}
+		s.step(Tick{})
+		started += len(s.sent(wire.KindStoreFacts))
+	}
+	require.LessOrEqual(t, started, 5*fanout)
+	s.after(treeInterval)
+	s.step(Tick{})
+	require.Len(t, s.sent(wire.KindStoreFacts), fanout, "the last one is not lost")
+}
+
+// Guards against a missed fact that is never repaired, and against a flood of repairs.
+func TestLastingDifferenceIsRepairedOnce(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(20)
+	asked := 0
+	for round := range 20 {
+		s.after(100 * time.Millisecond)
+		for i := range 20 {
+			id := fleet.InstanceID(fmt.Sprintf("i%d", i+2))
+			s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.Standing{Sequence: uint64(2 + round), Newest: 500, Digest: 42}})
+			asked += len(s.sent(wire.KindFactsRequest))
+		}
+		if s.now < lagPatience {
+			require.Zero(t, asked)
+		}
+	}
+	require.Positive(t, asked)
+	require.LessOrEqual(t, asked, 4)
+}
+
+// Guards against a first list that a restarted instance sends to the whole fleet.
+func TestFirstListIsNotRelayed(t *testing.T) {
+	s := &session{t: t, r: New(Config{Instance: "i1", Format: fakeFormat{}})}
+	s.link(5)
+	s.step(KeysListed{Facts: []replica.Fact{{Key: "engines/e1", Revision: 2, Value: []byte("ready")}}, At: 9})
+	require.Empty(t, s.sent(wire.KindStoreFacts))
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "engines/e2", Revision: 10, Value: []byte("ready")}}, At: 10})
+	require.Len(t, s.sent(wire.KindStoreFacts), 5)
+}
+
+// Guards against load of other instances that is forgotten or kept after their end.
+func TestLoadOfOthersCounts(t *testing.T) {
+	s := newSession(t, 2)
+	s.link(1)
+	chat := func() fleet.EngineID {
+		s.step(CallArrived{Call: Call{ID: 70, Host: "h", Path: "/chat/x", Prompt: 1, Arrived: s.now}})
+		id := must[Send](s).Engine.ID
+		s.step(AttemptEnded{Call: 70, Outcome: Completed})
+		return id
+	}
+	first := chat()
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.Standing{Sequence: 9, Newest: s.r.facts.Newest(), Digest: s.r.facts.Digest(),
+		Running: []wire.EngineCount{{Engine: first, Count: 30}}}})
+	for range 5 {
+		require.NotEqual(t, first, chat())
+	}
+	s.step(PeerDown{Instance: "i2", Incarnation: 1})
+	require.Equal(t, first, chat())
+}
