--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -107,6 +107,10 @@
 	p.last = m
 	p.heard = r.now
 	r.shareLoads()
+	if !m.StoreLost {
+		// Removals that peers tell are real while one of them reads the store.
+		r.registry.StoreBack(r.now)
+	}
 	r.compare(from, m)
 }
 
@@ -152,6 +156,8 @@
 	r.store.rank = min(slices.Index(order, 0), watchers)
 	if on != r.store.watching {
 		r.store.watching = on
+		// An instance that no longer reads the store can't say that it has lost it.
+		r.store.lost = r.store.lost && on
 		r.emit(WatchStore{On: on})
 		r.emit(Note{Kind: "watching_store", Fields: []any{"on", on, "candidates", len(candidates)}})
 	}
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -202,3 +203,18 @@
 	s.step(PeerDown{Instance: "i2", Incarnation: 1})
 	require.Equal(t, first, chat())
 }
+
+// Guards against an instance that lost the store, left the reading to others, and suspends the
+// removals that they tell for ever.
+func TestRemovalsCountAgainWhenPeersReadTheStore(t *testing.T) {
+	s := newSession(t, 2)
+	s.step(StoreLost{Err: errors.New("reset")})
+	s.link(10)
+	s.after(3 * time.Second)
+	s.step(Tick{})
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "engines/e0", Revision: 200, Deleted: true}}}})
+	for range 10 {
+		require.Equal(t, fleet.EngineID("e1"), s.call("/get/x").Engine.ID)
+		s.end(Completed)
+	}
+}
