--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,8 +120,6 @@
 		// The peer address names an instance among its peers, because seeds are known by it only.
 		Instance:     fleet.InstanceID(s.PeerAddr),
 		DataCentre:   s.DataCentre,
-		Region:       s.Region,
-		PeerAddr:     s.PeerAddr,
 		Seeds:        s.Seeds,
 		Format:       format,
 		RetryRatio:   s.RetryRatio,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,9 +36,6 @@
 	Instance    fleet.InstanceID
 	Incarnation uint64
 	DataCentre  fleet.DataCentre
-	Region      fleet.Region
-	// PeerAddr is the address of the instance's own peer listener.
-	PeerAddr string
 	// Seeds are peer addresses that are tried while the store names no other instance.
 	Seeds []string
 	// Seed seeds all random choices.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -78,8 +78,6 @@
 	addr   string
 	net    net.Conn
 	reader *bufio.Reader
-	// reused tells that the connection has served an exchange before.
-	reused bool
 	// expires is when the engine may close the idle connection.
 	expires time.Time
 	life    time.Duration
@@ -125,7 +123,6 @@
 
 // Put keeps a connection whose exchange has ended cleanly.
 func (p *Pool) Put(c *Conn) {
-	c.reused = true
 	c.expires = time.Now().Add(c.life)
 	if c.reader.Buffered() > 0 {
 		c.Close()
