httputil, yamlfile: one copy of what the daemon and the gateway share

The listener type, the removal of hop-by-hop headers and the readers of settings fields existed twice. The daemon now also removes the headers that Connection names, as the gateway did.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +19,7 @@
 	"github.com/bilberrywell/bilberrywell/config"
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/core"
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/peer"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/settings"
@@ -171,7 +171,7 @@
 	d.tasks.Go(func() { d.loop.run(d.ctx, tickInterval) })
 	d.tasks.Go(func() { d.rate.run(d.ctx) })
 	for _, s := range servers {
-		d.tasks.Go(s.serve)
+		d.tasks.Go(s.Serve)
 	}
 	klog.InfoS("started", "instance", d.settings.Instance, "callers", d.settings.CallerAddr,
 		"peers", d.settings.PeerAddr, "admin", d.settings.AdminAddr, "release", d.release)
@@ -200,11 +200,11 @@
 	}
 }
 
-func (d *Daemon) stop(servers []*server) {
+func (d *Daemon) stop(servers []*httputil.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
-		s.shutdown(ctx)
+		s.Shutdown(ctx)
 	}
 	d.peers.Close()
 	d.cancel()
@@ -213,9 +213,9 @@
 }
 
 // abort closes every connection at once.
-func (d *Daemon) abort(servers []*server) {
+func (d *Daemon) abort(servers []*httputil.Server) {
 	for _, s := range servers {
-		_ = s.http.Close()
+		_ = s.HTTP.Close()
 	}
 	d.cancel()
 	d.peers.Close()
@@ -225,27 +225,8 @@
 // shutdownTimeout bounds the end of idle connections after a drain.
 const shutdownTimeout = 2 * time.Second
 
-// server is one listener with its handler.
-type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-}
-
-func (s *server) serve() {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		klog.ErrorS(err, "listener failed", "listener", s.name)
-	}
-}
-
-func (s *server) shutdown(ctx context.Context) {
-	if err := s.http.Shutdown(ctx); err != nil {
-		_ = s.http.Close()
-	}
-}
-
 // listen opens the three listeners.
-func (d *Daemon) listen() ([]*server, error) {
+func (d *Daemon) listen() ([]*httputil.Server, error) {
 	handlers := []struct {
 		name, addr string
 		handler    http.Handler
@@ -254,28 +235,22 @@
 		{"peers", d.settings.PeerAddr, d.peers.Handler()},
 		{"admin", d.settings.AdminAddr, d.adminHandler()},
 	}
-	var servers []*server
+	var servers []*httputil.Server
 	for _, h := range handlers {
 		listener, err := net.Listen("tcp", h.addr)
 		if err != nil {
-			closeAll(servers)
+			httputil.CloseListeners(servers)
 			return nil, oops.In("daemon").With("listener", h.name).Wrapf(err, "listen on %s", h.addr)
 		}
-		servers = append(servers, &server{name: h.name, listener: listener, http: d.httpServer(h.handler)})
+		servers = append(servers, &httputil.Server{Name: h.name, Listener: listener, HTTP: d.httpServer(h.handler)})
 	}
 	if err := d.securePeers(servers[1]); err != nil {
-		closeAll(servers)
+		httputil.CloseListeners(servers)
 		return nil, err
 	}
 	return servers, nil
 }
 
-func closeAll(servers []*server) {
-	for _, s := range servers {
-		_ = s.listener.Close()
-	}
-}
-
 func (d *Daemon) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/internal/daemon/plain.go
+++ b/internal/daemon/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/core"
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/wire"
 )
 
@@ -18,12 +19,6 @@
 // plainBufferBytes is the copy buffer of an answer.
 const plainBufferBytes = 4 << 10
 
-// hopByHop lists the headers that belong to one connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // plainResponder answers one call of a plain service.
 type plainResponder struct {
 	d             *Daemon
@@ -190,7 +185,5 @@
 	for name, values := range from {
 		to[name] = values
 	}
-	for _, name := range hopByHop {
-		to.Del(name)
-	}
+	httputil.RemoveHopByHop(to)
 }
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/settings"
 )
 
@@ -38,13 +39,13 @@
 }
 
 // securePeers wraps the peer listener in TLS when certificates are set.
-func (d *Daemon) securePeers(s *server) error {
+func (d *Daemon) securePeers(s *httputil.Server) error {
 	config, err := peerTLS(d.settings)
 	if err != nil || config == nil {
 		return err
 	}
 	// WebSocket needs HTTP/1.1.
 	config.NextProtos = []string{"http/1.1"}
-	s.listener = tls.NewListener(s.listener, config)
+	s.Listener = tls.NewListener(s.Listener, config)
 	return nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/router"
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
 	"github.com/bilberrywell/bilberrywell/routing"
@@ -25,12 +25,6 @@
 	callerWriteTimeout = 5 * time.Second
 )
 
-// hopByHop lists the headers that belong to one connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
 var (
 	// errUnsigned reports a success that the engine does not vouch for.
 	errUnsigned = errors.New("success without a signature")
@@ -111,7 +105,9 @@
 // request builds the engine's copy of the request.
 func (a *attempt) request() *upstream.Request {
 	header := a.r.Header.Clone()
-	removeHopByHop(header)
+	httputil.RemoveHopByHop(header)
+	// The length is that of the message as it is sent on.
+	header.Del("Content-Length")
 	lastEvent := ""
 	if a.cmd.Resume {
 		lastEvent = a.lastEvent
@@ -128,18 +124,6 @@
 	return &upstream.Request{Method: a.r.Method, Target: a.target, Host: a.r.Host, Header: header, Body: a.body}
 }
 
-// removeHopByHop removes the headers of one connection, those that Connection names included.
-func removeHopByHop(header http.Header) {
-	for _, value := range header.Values("Connection") {
-		for _, name := range bytes.Split([]byte(value), []byte(",")) {
-			header.Del(string(bytes.TrimSpace(name)))
-		}
-	}
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
-}
-
 // mine tells whether an answer belongs to this request. Engines echo the request's id; rejections
 // and other failures may lack it, and a success without it is nobody's.
 func (a *attempt) mine(res *http.Response) bool {
@@ -290,7 +274,9 @@
 		header[name] = values
 	}
 	closing := c.g.draining.Load()
-	removeHopByHop(header)
+	httputil.RemoveHopByHop(header)
+	// The length is that of the message as it is sent on.
+	header.Del("Content-Length")
 	if closing {
 		header.Set("Connection", "close")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,8 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/peer"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/router"
@@ -251,7 +250,7 @@
 		return err
 	}
 	for _, s := range servers {
-		g.tasks.Go(s.serve)
+		g.tasks.Go(s.Serve)
 	}
 	g.tasks.Go(g.loop)
 	g.tasks.Go(g.watchStore)
@@ -273,11 +272,11 @@
 	return nil
 }
 
-func (g *Gateway) stop(servers []*server) {
+func (g *Gateway) stop(servers []*httputil.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancel()
 	for _, s := range servers {
-		s.shutdown(ctx)
+		s.Shutdown(ctx)
 	}
 	g.cancel()
 	g.peers.Close()
@@ -321,22 +320,3 @@
 	g.mu.Unlock()
 	klog.InfoS("settings reloaded")
 }
-
-// server is one listener with its handler.
-type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-}
-
-func (s *server) serve() {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		klog.ErrorS(err, "listener failed", "listener", s.name)
-	}
-}
-
-func (s *server) shutdown(ctx context.Context) {
-	if err := s.http.Shutdown(ctx); err != nil {
-		_ = s.http.Close()
-	}
-}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -11,6 +11,8 @@
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/samber/oops"
+
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 )
 
 const (
@@ -26,7 +28,7 @@
 )
 
 // listen opens the listeners.
-func (g *Gateway) listen() ([]*server, error) {
+func (g *Gateway) listen() ([]*httputil.Server, error) {
 	type listener struct {
 		name, addr string
 		server     *http.Server
@@ -39,21 +41,19 @@
 	if g.settings.MetricsAddr != "" {
 		list = append(list, listener{"metrics", g.settings.MetricsAddr, &http.Server{Handler: g.metrics.handler(), ReadHeaderTimeout: headerTimeout}})
 	}
-	var servers []*server
+	var servers []*httputil.Server
 	for _, l := range list {
 		config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}}
 		opened, err := config.Listen(context.Background(), "tcp", l.addr)
 		if err != nil {
-			for _, s := range servers {
-				_ = s.listener.Close()
-			}
+			httputil.CloseListeners(servers)
 			return nil, oops.In("gateway").With("listener", l.name).Wrapf(err, "listen on %s", l.addr)
 		}
 		if l.name == "callers" {
 			opened = &callerListener{Listener: opened, idle: g.idleTimeout}
 		}
 		l.server.ErrorLog = log.New(io.Discard, "", 0)
-		servers = append(servers, &server{name: l.name, listener: opened, http: l.server})
+		servers = append(servers, &httputil.Server{Name: l.name, Listener: opened, HTTP: l.server})
 	}
 	return servers, nil
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -106,27 +106,23 @@
 func (l *settingsLoader) fields() yamlfile.Fields {
 	s := &l.settings
 	fields := yamlfile.Fields{
-		"instance":      func(n *yaml.Node) { s.Instance = fleet.InstanceID(l.text(n, "instance")) },
-		"data_centre":   func(n *yaml.Node) { s.DataCentre = fleet.DataCentre(l.text(n, "data_centre")) },
-		"region":        func(n *yaml.Node) { s.Region = fleet.Region(l.text(n, "region")) },
-		"caller_addr":   l.addr("caller_addr", &s.CallerAddr),
-		"ready_addr":    l.addr("ready_addr", &s.ReadyAddr),
-		"peer_addr":     l.addr("peer_addr", &s.PeerAddr),
-		"metrics_addr":  l.addr("metrics_addr", &s.MetricsAddr),
-		"store_addr":    l.addr("store_addr", &s.StoreAddr),
+		"instance":      yamlfile.SetString(&l.Reader, "instance", &s.Instance),
+		"data_centre":   yamlfile.SetString(&l.Reader, "data_centre", &s.DataCentre),
+		"region":        yamlfile.SetString(&l.Reader, "region", &s.Region),
+		"caller_addr":   l.SetAddr("caller_addr", &s.CallerAddr),
+		"ready_addr":    l.SetAddr("ready_addr", &s.ReadyAddr),
+		"peer_addr":     l.SetAddr("peer_addr", &s.PeerAddr),
+		"metrics_addr":  l.SetAddr("metrics_addr", &s.MetricsAddr),
+		"store_addr":    l.SetAddr("store_addr", &s.StoreAddr),
 		"seeds":         func(n *yaml.Node) { s.Seeds = l.Strings(n, "seeds") },
-		"fleet_secret":  func(n *yaml.Node) { s.FleetSecret = l.text(n, "fleet_secret") },
-		"stop_grace":    l.duration("stop_grace", &s.StopGrace, time.Second, time.Hour),
-		"drain_wait":    l.duration("drain_wait", &s.DrainWait, 0, time.Hour),
-		"retry_window":  l.duration("retry_window", &s.RetryWindow, 100*time.Millisecond, time.Hour),
-		"retry_ratio":   l.number("retry_ratio", &s.RetryRatio, 0, 1),
-		"retry_reserve": l.number("retry_reserve", &s.RetryReserve, 0, 1e6),
-		"load_limit":    l.number("load_limit", &s.LoadLimit, 1, 100),
-		"log_lines": func(n *yaml.Node) {
-			if i, ok := l.Int(n, "log_lines", 1, 1e6); ok {
-				s.LogLines = i
-			}
-		},
+		"fleet_secret":  yamlfile.SetString(&l.Reader, "fleet_secret", &s.FleetSecret),
+		"stop_grace":    l.SetDuration("stop_grace", &s.StopGrace, time.Second, time.Hour),
+		"drain_wait":    l.SetDuration("drain_wait", &s.DrainWait, 0, time.Hour),
+		"retry_window":  l.SetDuration("retry_window", &s.RetryWindow, 100*time.Millisecond, time.Hour),
+		"retry_ratio":   l.SetNumber("retry_ratio", &s.RetryRatio, 0, 1),
+		"retry_reserve": l.SetNumber("retry_reserve", &s.RetryReserve, 0, 1e6),
+		"load_limit":    l.SetNumber("load_limit", &s.LoadLimit, 1, 100),
+		"log_lines":     l.SetInt("log_lines", &s.LogLines, 1, 1e6),
 	}
 	for name, read := range fields {
 		fields[name] = func(n *yaml.Node) {
@@ -137,28 +133,3 @@
 	}
 	return fields
 }
-
-func (l *settingsLoader) text(n *yaml.Node, what string) string {
-	text, _ := l.String(n, what)
-	return text
-}
-
-func (l *settingsLoader) addr(what string, to *string) func(*yaml.Node) {
-	return func(n *yaml.Node) { *to, _ = l.Addr(n, what) }
-}
-
-func (l *settingsLoader) duration(what string, to *time.Duration, low, high time.Duration) func(*yaml.Node) {
-	return func(n *yaml.Node) {
-		if d, ok := l.Duration(n, what, low, high); ok {
-			*to = d
-		}
-	}
-}
-
-func (l *settingsLoader) number(what string, to *float64, low, high float64) func(*yaml.Node) {
-	return func(n *yaml.Node) {
-		if f, ok := l.Number(n, what, low, high); ok {
-			*to = f
-		}
-	}
-}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -14,7 +14,6 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/bilberrywell/bilberrywell/config"
-	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/yamlfile"
 )
 
@@ -74,38 +73,34 @@
 func (l *loader) fields() yamlfile.Fields {
 	s := &l.settings
 	fields := yamlfile.Fields{
-		"instance":                        func(n *yaml.Node) { s.Instance = fleet.InstanceID(l.text(n, "instance")) },
-		"data_centre":                     func(n *yaml.Node) { s.DataCentre = fleet.DataCentre(l.text(n, "data_centre")) },
-		"region":                          func(n *yaml.Node) { s.Region = fleet.Region(l.text(n, "region")) },
-		"caller_addr":                     l.addr("caller_addr", &s.CallerAddr),
-		"peer_addr":                       l.addr("peer_addr", &s.PeerAddr),
-		"admin_addr":                      l.addr("admin_addr", &s.AdminAddr),
-		"caller_advertise_addr":           l.addr("caller_advertise_addr", &s.CallerAdvertise),
-		"peer_advertise_addr":             l.addr("peer_advertise_addr", &s.PeerAdvertise),
-		"admin_advertise_addr":            l.addr("admin_advertise_addr", &s.AdminAdvertise),
+		"instance":                        yamlfile.SetString(&l.Reader, "instance", &s.Instance),
+		"data_centre":                     yamlfile.SetString(&l.Reader, "data_centre", &s.DataCentre),
+		"region":                          yamlfile.SetString(&l.Reader, "region", &s.Region),
+		"caller_addr":                     l.SetAddr("caller_addr", &s.CallerAddr),
+		"peer_addr":                       l.SetAddr("peer_addr", &s.PeerAddr),
+		"admin_addr":                      l.SetAddr("admin_addr", &s.AdminAddr),
+		"caller_advertise_addr":           l.SetAddr("caller_advertise_addr", &s.CallerAdvertise),
+		"peer_advertise_addr":             l.SetAddr("peer_advertise_addr", &s.PeerAdvertise),
+		"admin_advertise_addr":            l.SetAddr("admin_advertise_addr", &s.AdminAdvertise),
 		"platform_url":                    l.platformURL,
 		"fleet_secret_file":               l.path("fleet_secret_file", &s.FleetSecretFile),
 		"peer_tls_cert_file":              l.path("peer_tls_cert_file", &s.PeerTLSCertFile),
 		"peer_tls_key_file":               l.path("peer_tls_key_file", &s.PeerTLSKeyFile),
 		"peer_tls_ca_file":                l.path("peer_tls_ca_file", &s.PeerTLSCAFile),
-		"drain_deadline":                  l.duration("drain_deadline", &s.DrainDeadline, time.Second, time.Hour),
-		"balancer_grace":                  l.duration("balancer_grace", &s.BalancerGrace, 0, time.Minute),
-		"takeover_window":                 l.duration("takeover_window", &s.TakeoverWindow, 100*time.Millisecond, time.Minute),
-		"heartbeat_interval":              l.duration("heartbeat_interval", &s.HeartbeatInterval, 50*time.Millisecond, time.Minute),
-		"header_timeout":                  l.duration("header_timeout", &s.HeaderTimeout, 100*time.Millisecond, time.Minute),
-		"idle_timeout":                    l.duration("idle_timeout", &s.IdleTimeout, time.Second, time.Hour),
-		"rewalk":                          l.duration("rewalk", &s.Rewalk, 10*time.Millisecond, 10*time.Second),
-		"claim_retention":                 l.duration("claim_retention", &s.ClaimRetention, time.Minute, 30*24*time.Hour),
-		"claim_batch":                     l.duration("claim_batch", &s.ClaimBatch, 0, time.Second),
-		"control_budget_bytes_per_second": l.integer("control_budget_bytes_per_second", &s.ControlBytesPerSecond, 1024, 1<<30),
-		"request_body_limit_bytes":        l.integer("request_body_limit_bytes", &s.RequestBodyBytes, 1024, 1<<30),
-		"header_limit_bytes":              l.integer("header_limit_bytes", &s.HeaderBytes, 1024, 16<<20),
-		"timeline_events":                 l.integer("timeline_events", &s.TimelineEvents, 16, 1<<20),
-		"takeover_share": func(n *yaml.Node) {
-			if f, ok := l.Number(n, "takeover_share", 0.01, 1); ok {
-				s.TakeoverShare = f
-			}
-		},
+		"drain_deadline":                  l.SetDuration("drain_deadline", &s.DrainDeadline, time.Second, time.Hour),
+		"balancer_grace":                  l.SetDuration("balancer_grace", &s.BalancerGrace, 0, time.Minute),
+		"takeover_window":                 l.SetDuration("takeover_window", &s.TakeoverWindow, 100*time.Millisecond, time.Minute),
+		"heartbeat_interval":              l.SetDuration("heartbeat_interval", &s.HeartbeatInterval, 50*time.Millisecond, time.Minute),
+		"header_timeout":                  l.SetDuration("header_timeout", &s.HeaderTimeout, 100*time.Millisecond, time.Minute),
+		"idle_timeout":                    l.SetDuration("idle_timeout", &s.IdleTimeout, time.Second, time.Hour),
+		"rewalk":                          l.SetDuration("rewalk", &s.Rewalk, 10*time.Millisecond, 10*time.Second),
+		"claim_retention":                 l.SetDuration("claim_retention", &s.ClaimRetention, time.Minute, 30*24*time.Hour),
+		"claim_batch":                     l.SetDuration("claim_batch", &s.ClaimBatch, 0, time.Second),
+		"control_budget_bytes_per_second": l.SetInt("control_budget_bytes_per_second", &s.ControlBytesPerSecond, 1024, 1<<30),
+		"request_body_limit_bytes":        l.SetInt("request_body_limit_bytes", &s.RequestBodyBytes, 1024, 1<<30),
+		"header_limit_bytes":              l.SetInt("header_limit_bytes", &s.HeaderBytes, 1024, 16<<20),
+		"timeline_events":                 l.SetInt("timeline_events", &s.TimelineEvents, 16, 1<<20),
+		"takeover_share":                  l.SetNumber("takeover_share", &s.TakeoverShare, 0.01, 1),
 	}
 	for name, read := range fields {
 		fields[name] = func(n *yaml.Node) {
@@ -116,15 +111,6 @@
 	return fields
 }
 
-func (l *loader) text(n *yaml.Node, what string) string {
-	text, _ := l.String(n, what)
-	return text
-}
-
-func (l *loader) addr(what string, to *string) func(*yaml.Node) {
-	return func(n *yaml.Node) { *to, _ = l.Addr(n, what) }
-}
-
 func (l *loader) path(what string, to *string) func(*yaml.Node) {
 	return func(n *yaml.Node) {
 		text, ok := l.String(n, what)
@@ -135,22 +121,6 @@
 	}
 }
 
-func (l *loader) duration(what string, to *time.Duration, low, high time.Duration) func(*yaml.Node) {
-	return func(n *yaml.Node) {
-		if d, ok := l.Duration(n, what, low, high); ok {
-			*to = d
-		}
-	}
-}
-
-func (l *loader) integer(what string, to *int, low, high int) func(*yaml.Node) {
-	return func(n *yaml.Node) {
-		if i, ok := l.Int(n, what, low, high); ok {
-			*to = i
-		}
-	}
-}
-
 func (l *loader) platformURL(n *yaml.Node) {
 	text, ok := l.String(n, "platform_url")
 	if !ok {
