platform: one client of the store

Cause: the daemon and the CLI had a client of a protocol of our own, with a stand-in of its own, beside the client of the users' store.

Change: Records gives the calls of Store and Directory over the one Keyspace: compare-and-swap as a guarded transaction, a watch as changes under the key, a lease as a key bound to a lease whose fencing number is the revision at which it was taken. Instances keep their own rows with a lease (Presence, which the gateway uses too) and mark them when they leave; they announce themselves before they first list the others.

--- a/cmd/bilberryctl/main.go
+++ b/cmd/bilberryctl/main.go
@@ -8,10 +8,15 @@
 	"syscall"
 
 	"github.com/bilberrywell/bilberrywell/internal/ctl"
+	keyspace "github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/platform"
 )
 
+// connectStore returns a client of the store.
+func connectStore(addr string) keyspace.Keyspace { return platform.NewStore(addr, nil) }
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(ctl.New(os.Stdout, os.Stderr).Run(ctx, os.Args[1:]))
+	os.Exit(ctl.New(os.Stdout, os.Stderr, connectStore).Run(ctx, os.Args[1:]))
 }
--- a/cmd/bilberrywelld/main.go
+++ b/cmd/bilberrywelld/main.go
@@ -12,7 +12,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bilberrywell/bilberrywell/internal/daemon"
+	keyspace "github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/settings"
+	"github.com/bilberrywell/bilberrywell/platform"
 )
 
 // version is set by the linker.
@@ -55,12 +57,17 @@
 	return serve(s)
 }
 
+// connectStore returns a client of the store.
+func connectStore(addr string, dial daemon.DialFunc) keyspace.Keyspace {
+	return platform.NewStore(addr, dial)
+}
+
 // serve runs the daemon until SIGTERM or SIGINT. A second signal ends it at once.
 func serve(s settings.Settings) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	d, err := daemon.New(s, version)
+	d, err := daemon.New(s, version, connectStore)
 	if err == nil {
 		err = d.Run(ctx)
 	}
--- a/internal/capacity/daemons.go
+++ b/internal/capacity/daemons.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,12 +15,12 @@
 
 	"github.com/samber/oops"
 
-	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/harness"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/standin/enginesim"
-	"github.com/bilberrywell/bilberrywell/internal/standin/platformsim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/simutil"
+	userplatform "github.com/bilberrywell/bilberrywell/platform"
+	"github.com/bilberrywell/bilberrywell/platform/standin"
 	"github.com/bilberrywell/bilberrywell/revision"
 )
 
@@ -30,37 +29,40 @@
 	callerKey  = "capacity-caller"
 	enginesPer = 3
 	startLimit = 60 * time.Second
+	// storeWrites and storeReads are the calls per second that the stand-in of the store carries out.
+	storeWrites = 300
+	storeReads  = 2000
 )
 
 // processes is a fleet of daemon processes of one region with stand-ins in this process.
 type processes struct {
 	dir      string
-	platform *platformsim.Sim
+	store    *standin.Server
 	servers  []*simutil.Server
 	engines  []string
 	children []*exec.Cmd
-	list     []platform.Instance
-	callers  []string
-	version  uint64
+	// admin holds the admin addresses of the instances.
+	admin   []string
+	callers []string
+	version uint64
 }
 
 // startProcesses starts n daemons. The goroutine must be locked to its thread, because the
 // kernel kills a child when the thread that started it ends.
 func startProcesses(bin, dir string, n int) (*processes, error) {
-	p := &processes{dir: dir, platform: platformsim.New(platformsim.Options{})}
-	server, err := p.platform.Start(loopback)
+	store, err := standin.ServeStore(loopback)
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
-	p.servers = append(p.servers, server)
+	store.SetRates(standin.Rates{Writes: storeWrites, Reads: storeReads})
+	p := &processes{dir: dir, store: store}
 	if err := p.startEngines(n * enginesPer); err != nil {
 		return p, err
 	}
-	files, err := p.writeSettings(n, server.URL)
+	files, err := p.writeSettings(n)
 	if err != nil {
 		return p, err
 	}
-	p.platform.SetInstances(p.list)
 	if _, err := p.publish(p.files(0)); err != nil {
 		return p, err
 	}
@@ -85,12 +87,12 @@
 	return nil
 }
 
-func (p *processes) writeSettings(n int, platformURL string) ([]string, error) {
+func (p *processes) writeSettings(n int) ([]string, error) {
 	secret := filepath.Join(p.dir, "secret")
 	if err := os.WriteFile(secret, []byte(rand.Text()+rand.Text()), 0o600); err != nil {
 		return nil, oops.Wrap(err)
 	}
-	addrs, err := freeAddrs(3 * n)
+	addrs, err := simutil.FreeAddrs(3 * n)
 	if err != nil {
 		return nil, err
 	}
@@ -99,35 +101,18 @@
 		a := addrs[3*i : 3*i+3]
 		id := fmt.Sprintf("instance-%04d", i)
 		dc := fmt.Sprint("dc-", i%3)
-		text := fmt.Sprintf("instance: %s\ndata_centre: %s\nregion: region\ncaller_addr: %q\npeer_addr: %q\nadmin_addr: %q\nplatform_url: %q\nfleet_secret_file: %q\n",
-			id, dc, a[0], a[1], a[2], platformURL, secret)
+		text := fmt.Sprintf("instance: %s\ndata_centre: %s\nregion: region\ncaller_addr: %q\npeer_addr: %q\nadmin_addr: %q\nstore_addr: %q\nfleet_secret_file: %q\n",
+			id, dc, a[0], a[1], a[2], p.store.Addr, secret)
 		files[i] = filepath.Join(p.dir, id+".yaml")
 		if err := os.WriteFile(files[i], []byte(text), 0o600); err != nil {
 			return nil, oops.Wrap(err)
 		}
 		p.callers = append(p.callers, "http://"+a[0])
-		p.list = append(p.list, platform.Instance{
-			ID: fleet.InstanceID(id), PeerAddr: a[1], AdminAddr: a[2], DataCentre: fleet.DataCentre(dc), Region: "region",
-		})
+		p.admin = append(p.admin, a[2])
 	}
 	return files, nil
 }
 
-// freeAddrs returns loopback addresses that were free a moment ago.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, n)
-	for i := range addrs {
-		listener, err := net.Listen("tcp", loopback)
-		if err != nil {
-			return nil, oops.Wrap(err)
-		}
-		// All listeners stay open until the end, so that no address comes twice.
-		defer func() { _ = listener.Close() }()
-		addrs[i] = listener.Addr().String()
-	}
-	return addrs, nil
-}
-
 // start starts a child that ends with this process.
 func (p *processes) start(name, settings, logFile string) error {
 	log, err := os.Create(logFile)
@@ -157,6 +142,7 @@
 	for _, server := range p.servers {
 		_ = server.Close()
 	}
+	_ = p.store.Close()
 }
 
 // files returns a configuration of the target's size: the engines of this fleet, and the
@@ -183,15 +169,16 @@
 // publish puts files in force as the next version and returns the time of its acceptance.
 func (p *processes) publish(files map[string][]byte) (time.Time, error) {
 	ctx := context.Background()
+	records := platform.NewRecords(userplatform.NewStore(p.store.Addr, nil))
 	for digest, content := range blobsOf(files) {
 		// A blob that exists is as good as a new one.
-		_, _ = p.platform.CompareAndSwap(ctx, revision.BlobKey(digest), content, 0)
+		_, _ = records.CompareAndSwap(ctx, revision.BlobKey(digest), content, 0)
 	}
-	head, _ := p.platform.Get(ctx, revision.HeadKey)
+	head, _ := records.Get(ctx, revision.HeadKey)
 	manifest := revision.Manifest{
 		Version: p.version + 1, PublishID: fmt.Sprint("publish-", p.version+1), Files: revision.Digests(files), Publisher: "capacity",
 	}
-	_, err := p.platform.CompareAndSwap(ctx, revision.HeadKey, manifest.Encode(), head.Revision)
+	_, err := records.CompareAndSwap(ctx, revision.HeadKey, manifest.Encode(), head.Revision)
 	if err != nil {
 		return time.Time{}, oops.Wrap(err)
 	}
--- a/internal/capacity/list.go
+++ b/internal/capacity/list.go
@@ -10,17 +10,18 @@
 
 	"github.com/bilberrywell/bilberrywell/internal/core"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
-	"github.com/bilberrywell/bilberrywell/internal/standin/platformsim"
+	userplatform "github.com/bilberrywell/bilberrywell/platform"
+	"github.com/bilberrywell/bilberrywell/platform/standin"
 )
 
 // listReads is the number of reads of the instance list at each size.
 const listReads = 200
 
-// ListReads measures the processor time and the bytes of a read of the instance list. The
+// ListReads measures the processor time of a read and the bytes of the rows of the instance list. The
 // time includes the stand-in, which encodes what the client decodes.
 func ListReads(w io.Writer, sizes []int) error {
 	cpu := Series{Name: "instance list: processor time of client and stand-in", XName: "instances", Unit: "us", Target: float64(Target.Instances)}
-	size := Series{Name: "instance list: answer", XName: "instances", Unit: "kB", Target: float64(Target.Instances)}
+	size := Series{Name: "instance list: keys and values", XName: "instances", Unit: "kB", Target: float64(Target.Instances)}
 	for _, n := range sizes {
 		used, bytes, err := listRead(n)
 		if err != nil {
@@ -67,22 +68,27 @@
 }
 
 func listRead(n int) (microseconds, kilobytes float64, err error) {
-	sim := platformsim.New(platformsim.Options{ReadsPerSecond: -1})
-	server, err := sim.Start(loopback)
+	store, err := standin.ServeStore(loopback)
 	if err != nil {
 		return 0, 0, oops.Wrap(err)
 	}
-	defer func() { _ = server.Close() }()
-	rows := growing(n)[0].instances()
-	sim.SetInstances(rows)
-	client := platform.NewHTTP(server.URL, nil)
+	defer func() { _ = store.Close() }()
+	bytes := 0
+	for _, row := range growing(n)[0].instances() {
+		key, value, err := platform.InstanceEntry(row)
+		if err != nil {
+			return 0, 0, oops.Wrap(err)
+		}
+		store.Put(key, value)
+		bytes += len(key) + len(value)
+	}
+	records := platform.NewRecords(userplatform.NewStore(store.Addr, nil))
 	start := cpuTime()
 	for range listReads {
-		if _, err := client.Instances(context.Background()); err != nil {
+		if _, err := records.Instances(context.Background()); err != nil {
 			return 0, 0, oops.Wrap(err)
 		}
 	}
 	used := float64((cpuTime() - start).Microseconds()) / listReads
-	body, err := bodyLength(server.URL + "/instances")
-	return used, float64(body) / 1000, err
+	return used, float64(bytes) / 1000, nil
 }
--- a/internal/capacity/observe.go
+++ b/internal/capacity/observe.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			return nil, err
 		}
-		control, err := controlBytes("http://" + p.list[i].AdminAddr + "/metrics")
+		control, err := controlBytes("http://" + p.admin[i] + "/metrics")
 		if err != nil {
 			return nil, err
 		}
@@ -144,14 +144,3 @@
 	mean.cpu = time.Duration(float64(mean.cpu) / d.Seconds())
 	return mean
 }
-
-// bodyLength returns the length of an answer.
-func bodyLength(url string) (int64, error) {
-	response, err := http.Get(url)
-	if err != nil {
-		return 0, oops.Wrap(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	n, err := io.Copy(io.Discard, response.Body)
-	return n, oops.Wrap(err)
-}
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 
 	"github.com/bilberrywell/bilberrywell/internal/load"
+	"github.com/bilberrywell/bilberrywell/platform/standin"
 )
 
 const (
@@ -150,7 +151,7 @@
 }
 
 func (p *processes) spreadOnce(w io.Writer, files map[string][]byte, changed string) (time.Duration, error) {
-	callsBefore := p.platform.Counts()
+	callsBefore := p.store.Calls()
 	accepted, err := p.publish(files)
 	if err != nil {
 		return 0, err
@@ -168,10 +169,10 @@
 			len(p.children), changed, len(files[changed]), len(delays), spreadLimit)
 		return spreadLimit, nil
 	}
-	after := p.platform.Counts()
+	after := p.store.Calls()
 	fmt.Fprintf(w, "%d instances, %s of %d bytes: in force on half after %s, on all after %s; platform reads %d\n",
 		len(p.children), changed, len(files[changed]), delays[len(delays)/2].Round(time.Millisecond),
-		delays[len(delays)-1].Round(time.Millisecond), after.Calls.Get-callsBefore.Calls.Get)
+		delays[len(delays)-1].Round(time.Millisecond), after[standin.GetPath]-callsBefore[standin.GetPath])
 	time.Sleep(2 * time.Second)
 	return delays[len(delays)-1], nil
 }
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -50,7 +50,7 @@
 
 // Environment variables that give defaults of common flags.
 const (
-	envPlatform   = "BILBERRY_PLATFORM"
+	envStore      = "BILBERRY_STORE"
 	envSecretFile = "BILBERRY_SECRET_FILE"
 )
 
@@ -64,17 +64,17 @@
 	Random io.Reader
 	// Sleep waits for d or until ctx ends.
 	Sleep func(ctx context.Context, d time.Duration)
-	// Connect returns the platform's services at a base URL.
-	Connect func(baseURL string) (platform.Store, platform.Directory)
+	// Connect returns the records of the store at an address, IP:port.
+	Connect func(addr string) (platform.Store, platform.Directory)
 }
 
-// New returns an App on the real clock, environment and platform.
-func New(stdout, stderr io.Writer) *App {
+// New returns an App on the real clock and environment. Connect returns the store at an address.
+func New(stdout, stderr io.Writer, connect func(addr string) platform.Keyspace) *App {
 	return &App{
 		Stdout: stdout, Stderr: stderr, Stdin: os.Stdin, Getenv: os.Getenv, Now: time.Now, Random: rand.Reader, Sleep: sleep,
-		Connect: func(baseURL string) (platform.Store, platform.Directory) {
-			client := platform.NewHTTP(baseURL, nil)
-			return client, client
+		Connect: func(addr string) (platform.Store, platform.Directory) {
+			records := platform.NewRecords(connect(addr))
+			return records, records
 		},
 	}
 }
@@ -101,8 +101,8 @@
 // call is one run of a command with its flags.
 type call struct {
 	*App
-	platformURL, secretFile, output string
-	timeout                         time.Duration
+	storeAddr, secretFile, output string
+	timeout                       time.Duration
 
 	wait, published       bool
 	publisher, at, target string
@@ -207,7 +207,7 @@
 func (c *call) flagSet(cmd *command) *flag.FlagSet {
 	fs := flag.NewFlagSet(cmd.name, flag.ContinueOnError)
 	fs.SetOutput(io.Discard)
-	fs.StringVar(&c.platformURL, "platform", c.Getenv(envPlatform), "base `URL` of the platform (default $"+envPlatform+")")
+	fs.StringVar(&c.storeAddr, "store", c.Getenv(envStore), "`address` of the store, IP:port (default $"+envStore+")")
 	fs.StringVar(&c.secretFile, "secret-file", c.Getenv(envSecretFile), "`file` with the fleet's secret (default $"+envSecretFile+")")
 	fs.StringVar(&c.output, "output", "text", "text or json")
 	fs.DurationVar(&c.timeout, "timeout", time.Minute, "longest time for the whole command")
@@ -222,10 +222,10 @@
 	if c.store != nil {
 		return nil
 	}
-	if c.platformURL == "" {
-		return usageError("set -platform or $" + envPlatform)
+	if c.storeAddr == "" {
+		return usageError("set -store or $" + envStore)
 	}
-	c.store, c.directory = c.Connect(c.platformURL)
+	c.store, c.directory = c.Connect(c.storeAddr)
 	return nil
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -158,8 +158,8 @@
 
 func (s *session) run(line string) int {
 	var out, stdout bytes.Buffer
-	env := map[string]string{"BILBERRY_PLATFORM": "http://127.0.0.1:1", "BILBERRY_SECRET_FILE": s.root + "/secret", "USER": "aya"}
-	app := ctl.New(io.MultiWriter(&out, &stdout), &out)
+	env := map[string]string{"BILBERRY_STORE": "127.0.0.1:1", "BILBERRY_SECRET_FILE": s.root + "/secret", "USER": "aya"}
+	app := ctl.New(io.MultiWriter(&out, &stdout), &out, nil)
 	app.Getenv = func(name string) string { return env[name] }
 	now := time.Date(2027, 1, 10, 2, 0, 30, 0, time.UTC)
 	app.Now = func() time.Time { return now }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -42,18 +42,23 @@
 
 // newControlClient returns an HTTP client whose bytes are counted under a kind.
 func newControlClient(set *metrics.Set, kind string) *http.Client {
+	transport := newTransport()
+	transport.DialContext = countedDial(set, kind)
+	return &http.Client{Transport: transport}
+}
+
+// countedDial returns a dial function whose connections are counted under a kind.
+func countedDial(set *metrics.Set, kind string) DialFunc {
 	sent := set.NewCounter(`bilberry_control_bytes_total{direction="sent",kind="` + kind + `"}`)
 	received := set.NewCounter(`bilberry_control_bytes_total{direction="received",kind="` + kind + `"}`)
-	transport := newTransport()
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	dial := newTransport().DialContext
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
 		return &countingConn{Conn: conn, sent: sent, received: received}, nil
 	}
-	return &http.Client{Transport: transport}
 }
 
 // countingConn counts the bytes of a connection.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,7 @@
 	engines   *engineClient
 	store     platform.Store
 	directory platform.Directory
+	presence  *presence
 	peers     *peer.Manager
 	metrics   *daemonMetrics
 	events    *eventLog
@@ -59,8 +60,15 @@
 	aborted   chan struct{}
 }
 
+// Connect returns the store at an address, IP:port. Dial opens its connections.
+type Connect func(addr string, dial DialFunc) platform.Keyspace
+
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // New returns a daemon for checked settings. Run starts it.
-func New(s settings.Settings, release string) (*Daemon, error) {
+func New(s settings.Settings, release string, connect Connect) (*Daemon, error) {
+	var err error
 	d := &Daemon{
 		settings:    s,
 		release:     release,
@@ -76,10 +84,14 @@
 	d.metrics.registerAll()
 	d.events = newEventLog(s.Instance, d.incarnation, s.TimelineEvents)
 	d.rate = newByteRate(d.metrics.set)
-	client := platform.NewHTTP(s.PlatformURL, newControlClient(d.metrics.set, "platform"))
-	d.store, d.directory = client, client
+	keys := connect(s.StoreAddr, countedDial(d.metrics.set, "platform"))
+	records := platform.NewRecords(keys)
+	d.store, d.directory = records, records
+	if d.presence, err = newPresence(keys, s); err != nil {
+		return nil, err
+	}
 	d.engines = &engineClient{http: newControlClient(d.metrics.set, "engine")}
-	if err := d.buildPeers(); err != nil {
+	if err = d.buildPeers(); err != nil {
 		return nil, err
 	}
 	seed, err := randomSeed()
@@ -168,8 +180,10 @@
 	if err != nil {
 		return err
 	}
+	d.announce()
 	d.tasks.Go(func() { d.loop.run(d.ctx, tickInterval) })
 	d.tasks.Go(func() { d.rate.run(d.ctx) })
+	d.tasks.Go(func() { d.presence.key.Run(d.ctx, d.incarnation) })
 	for _, s := range servers {
 		d.tasks.Go(s.Serve)
 	}
@@ -188,6 +202,19 @@
 	return nil
 }
 
+// announce writes the instance's row before the others are listed. A store that is away does not
+// hold up the start.
+func (d *Daemon) announce() {
+	ctx, cancel := context.WithTimeout(d.ctx, announceTimeout)
+	defer cancel()
+	if err := d.presence.key.Announce(ctx); err != nil {
+		klog.ErrorS(err, "instance not announced yet", "instance", d.settings.Instance)
+	}
+}
+
+// announceTimeout bounds the wait for the store at the start. It answers in milliseconds.
+const announceTimeout = time.Second
+
 // awaitDrain waits until the reducer reports that the drain has ended, or for the deadline.
 func (d *Daemon) awaitDrain() {
 	deadline := time.NewTimer(d.settings.DrainDeadline)
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -43,6 +43,7 @@
 		d.setReady(e.Ready)
 	case core.DrainStarted:
 		d.drainOnce.Do(func() { close(d.draining) })
+		d.presence.leave()
 	case core.Drained:
 		close(d.drained)
 	default:
--- a/internal/demo/daemon.go
+++ b/internal/demo/daemon.go
@@ -26,7 +26,7 @@
 	CallerAddr      string `yaml:"caller_addr"`
 	PeerAddr        string `yaml:"peer_addr"`
 	AdminAddr       string `yaml:"admin_addr"`
-	PlatformURL     string `yaml:"platform_url"`
+	StoreAddr       string `yaml:"store_addr"`
 	FleetSecretFile string `yaml:"fleet_secret_file"`
 }
 
@@ -36,8 +36,8 @@
 }
 
 // publishArgs returns the CLI's arguments to publish dir.
-func publishArgs(platformURL, secretFile, dir string) []string {
-	return []string{"publish", "-platform", platformURL, "-secret-file", secretFile, "-as", "demo", dir}
+func publishArgs(storeAddr, secretFile, dir string) []string {
+	return []string{"publish", "-store", storeAddr, "-secret-file", secretFile, "-as", "demo", dir}
 }
 
 // adminHeader returns the header that the admin listener wants.
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -8,13 +8,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"time"
 
 	"github.com/samber/oops"
 
-	"github.com/bilberrywell/bilberrywell/fleet"
-	"github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/standin/simutil"
 )
 
@@ -40,11 +37,12 @@
 
 // daemons is a fleet of daemon processes.
 type daemons struct {
-	bin     string
-	dir     string
-	secret  string
-	world   *World
-	list    []platform.Instance
+	bin    string
+	dir    string
+	secret string
+	world  *World
+	// admin holds the admin addresses of the instances.
+	admin   []string
 	urls    []string
 	files   []string
 	process *processes
@@ -67,7 +65,6 @@
 			return nil, err
 		}
 	}
-	world.Platform.SetInstances(d.list)
 	for i, file := range d.files {
 		if err := d.process.start(filepath.Join(bin, daemonBinary), daemonArgs(file), d.logFile(i)); err != nil {
 			d.close()
@@ -101,7 +98,7 @@
 		Instance:   fmt.Sprintf("entry-%d", i+1),
 		DataCentre: p.dataCentre, Region: p.region,
 		CallerAddr: addrs[0], PeerAddr: addrs[1], AdminAddr: addrs[2],
-		PlatformURL: d.world.PlatformURL, FleetSecretFile: d.secretFile(),
+		StoreAddr: d.world.Store.Addr, FleetSecretFile: d.secretFile(),
 	}
 }
 
@@ -112,10 +109,7 @@
 	}
 	d.files = append(d.files, file)
 	d.urls = append(d.urls, "http://"+s.CallerAddr)
-	d.list = append(d.list, platform.Instance{
-		ID: fleet.InstanceID(s.Instance), PeerAddr: s.PeerAddr, AdminAddr: s.AdminAddr,
-		DataCentre: fleet.DataCentre(s.DataCentre), Region: fleet.Region(s.Region),
-	})
+	d.admin = append(d.admin, s.AdminAddr)
 	return nil
 }
 
@@ -128,24 +122,19 @@
 func (d *daemons) bases() []string { return d.urls }
 
 func (d *daemons) publish(ctx context.Context, dir string) error {
-	return d.process.run(ctx, filepath.Join(d.bin, ctlBinary), publishArgs(d.world.PlatformURL, d.secretFile(), dir))
+	return d.process.run(ctx, filepath.Join(d.bin, ctlBinary), publishArgs(d.world.Store.Addr, d.secretFile(), dir))
 }
 
-// kill kills a daemon. The platform's list drops it once its lag has passed.
+// kill kills a daemon. Its row in the store lapses.
 func (d *daemons) kill(instance int) error {
-	if err := d.process.kill(instance); err != nil {
-		return err
-	}
-	left := slices.Delete(slices.Clone(d.list), instance, instance+1)
-	d.world.Platform.SetInstances(left)
-	return nil
+	return d.process.kill(instance)
 }
 
 // metrics reads an instance's metrics listener.
 func (d *daemons) metrics(ctx context.Context, instance int) (series, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	url := "http://" + d.list[instance].AdminAddr + metricsPath
+	url := "http://" + d.admin[instance] + metricsPath
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, oops.Wrap(err)
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -61,8 +61,8 @@
 	p.TakeoverRises, p.TakeoverOver, p.OverTakeover = s.inTakeover, s.overInTakeover, s.overTakeover
 	p.MeanRatio = s.sumRatio / float64(max(s.samples, 1))
 	p.MeanCV = s.sumCV / float64(max(s.samples, 1))
-	counts := r.world.Platform.Counts()
-	p.PlatformPeakReads, p.PlatformPeak = counts.PeakReads, counts.PeakWrites
+	peaks := r.world.Store.Peaks()
+	p.PlatformPeakReads, p.PlatformPeak = peaks.Reads, peaks.Writes
 	p.Details = t.details
 	r.fillOrders()
 	p.DoubledChats = r.doubledChats()
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/standin/enginesim"
-	"github.com/bilberrywell/bilberrywell/internal/standin/platformsim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/servicesim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/simutil"
+	"github.com/bilberrywell/bilberrywell/platform/standin"
 )
 
 const loopback = "127.0.0.1:0"
@@ -20,15 +20,16 @@
 	eventLag        = 500 * time.Millisecond
 	eventDrop       = 0.05
 	callDelay       = 20 * time.Millisecond
-	listLagMS       = 500
+	// storeWrites and storeReads are the calls per second that the stand-in of the store carries out.
+	storeWrites = 300
+	storeReads  = 2000
 )
 
 // World is the outside of a fleet: the platform, the engines and the services.
 type World struct {
-	Platform    *platformsim.Sim
-	PlatformURL string
-	Engines     map[string]*enginesim.Engine
-	Services    map[string]*servicesim.Service
+	Store    *standin.Server
+	Engines  map[string]*enginesim.Engine
+	Services map[string]*servicesim.Service
 	// Addrs maps the addresses in the example's files to those served.
 	Addrs   map[string]string
 	servers []*simutil.Server
@@ -37,18 +38,16 @@
 // NewWorld serves the stand-ins of an example on free loopback ports.
 func NewWorld(example *Example) (*World, error) {
 	w := &World{
-		Platform: platformsim.New(platformsim.Options{}),
 		Engines:  map[string]*enginesim.Engine{},
 		Services: map[string]*servicesim.Service{},
 		Addrs:    map[string]string{},
 	}
-	lag := listLagMS
-	w.Platform.SetFault(platformsim.Fault{ListLagMS: &lag})
-	server, err := w.keep(w.Platform.Start(loopback))
+	store, err := standin.ServeStore(loopback)
 	if err != nil {
 		return nil, err
 	}
-	w.PlatformURL = server.URL
+	w.Store = store
+	w.Store.SetRates(standin.Rates{Writes: storeWrites, Reads: storeReads})
 	for _, service := range example.Services {
 		if err := w.startEngines(service); err != nil {
 			w.Close()
@@ -101,4 +100,5 @@
 	for _, server := range w.servers {
 		_ = server.Close()
 	}
+	_ = w.Store.Close()
 }
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -22,9 +22,10 @@
 	"github.com/bilberrywell/bilberrywell/internal/settings"
 	"github.com/bilberrywell/bilberrywell/internal/standin/callersim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/enginesim"
-	"github.com/bilberrywell/bilberrywell/internal/standin/platformsim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/servicesim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/simutil"
+	userplatform "github.com/bilberrywell/bilberrywell/platform"
+	"github.com/bilberrywell/bilberrywell/platform/standin"
 	"github.com/bilberrywell/bilberrywell/revision"
 )
 
@@ -51,13 +52,14 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	t        testing.TB
-	Platform *platformsim.Sim
+	t testing.TB
+	// Records are the records in the store.
+	Records  *platform.Records
 	Engines  []*enginesim.Engine
 	Services []*servicesim.Service
 	Nodes    []*Node
 
-	platformURL  string
+	storeAddr    string
 	engineAddrs  []string
 	serviceAddrs []string
 	version      int
@@ -73,17 +75,20 @@
 	once     sync.Once
 }
 
+// ConnectStore returns a client of the store for daemons.
+func ConnectStore(addr string, dial daemon.DialFunc) platform.Keyspace {
+	return userplatform.NewStore(addr, dial)
+}
+
 // Start starts a fleet and publishes a configuration for it.
 func Start(t testing.TB, o Options) *Fleet {
-	f := &Fleet{t: t, Platform: platformsim.New(platformsim.Options{})}
-	server, err := f.Platform.Start("127.0.0.1:0")
+	store, err := standin.ServeStore("127.0.0.1:0")
 	require.NoError(t, err)
-	f.track(server)
-	f.platformURL = server.URL
+	t.Cleanup(func() { _ = store.Close() })
+	f := &Fleet{t: t, storeAddr: store.Addr, Records: platform.NewRecords(userplatform.NewStore(store.Addr, nil))}
 	f.startEngines(o)
 	f.startServices(o)
-	rows := f.configureNodes(o)
-	f.Platform.SetInstances(rows)
+	f.configureNodes(o)
 	for _, node := range f.Nodes {
 		f.StartNode(node)
 	}
@@ -128,9 +133,8 @@
 	}
 }
 
-// configureNodes picks addresses and returns the platform's list.
-func (f *Fleet) configureNodes(o Options) []platform.Instance {
-	var rows []platform.Instance
+// configureNodes picks addresses.
+func (f *Fleet) configureNodes(o Options) {
 	addrs, err := simutil.FreeAddrs(3 * o.Instances)
 	require.NoError(f.t, err)
 	for i := range o.Instances {
@@ -140,23 +144,19 @@
 		s.Region = "region"
 		s.CallerAddr, s.PeerAddr, s.AdminAddr = addrs[3*i], addrs[3*i+1], addrs[3*i+2]
 		s.CallerAdvertise, s.PeerAdvertise, s.AdminAdvertise = s.CallerAddr, s.PeerAddr, s.AdminAddr
-		s.PlatformURL = f.platformURL
+		s.StoreAddr = f.storeAddr
 		s.FleetSecret = settings.Secret("secret")
 		s.BalancerGrace = 100 * time.Millisecond
 		if o.Adjust != nil {
 			o.Adjust(&s)
 		}
 		f.Nodes = append(f.Nodes, &Node{ID: s.Instance, Settings: s})
-		rows = append(rows, platform.Instance{
-			ID: s.Instance, PeerAddr: s.PeerAddr, AdminAddr: s.AdminAddr, DataCentre: s.DataCentre, Region: s.Region,
-		})
 	}
-	return rows
 }
 
 // StartNode starts a node's daemon.
 func (f *Fleet) StartNode(n *Node) {
-	d, err := daemon.New(n.Settings, "test")
+	d, err := daemon.New(n.Settings, "test", ConnectStore)
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.Daemon, n.stop, n.done = d, cancel, make(chan struct{})
@@ -228,13 +228,13 @@
 	}
 	ctx := context.Background()
 	for _, content := range files {
-		_, err := f.Platform.CompareAndSwap(ctx, revision.BlobKey(revision.Digest(content)), content, 0)
+		_, err := f.Records.CompareAndSwap(ctx, revision.BlobKey(revision.Digest(content)), content, 0)
 		if err != nil {
 			require.ErrorIs(f.t, err, platform.ErrConflict)
 		}
 	}
-	head, _ := f.Platform.Get(ctx, revision.HeadKey)
-	_, err := f.Platform.CompareAndSwap(ctx, revision.HeadKey, manifest.Encode(), head.Revision)
+	head, _ := f.Records.Get(ctx, revision.HeadKey)
+	_, err := f.Records.CompareAndSwap(ctx, revision.HeadKey, manifest.Encode(), head.Revision)
 	require.NoError(f.t, err)
 	return manifest.Version
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -108,6 +108,13 @@
 	metrics *gatewayMetrics
 }
 
+// Get implements platform.Keyspace.
+func (s countedStore) Get(ctx context.Context, key string) (replica.Fact, error) {
+	fact, err := s.Keyspace.Get(ctx, key)
+	s.metrics.storeCall("get", err)
+	return fact, err
+}
+
 // List implements platform.Keyspace.
 func (s countedStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	listing, err := s.Keyspace.List(ctx, prefix)
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -23,11 +23,6 @@
 	// The bounds for drains and configurations leave about two seconds.
 	storeBackoffBase = 50 * time.Millisecond
 	storeBackoffMax  = 500 * time.Millisecond
-	// presenceTTL is the life of the instance's own key without renewal. A dead instance's key
-	// only makes its peers dial in vain.
-	presenceTTL = 30 * time.Second
-	// presenceRetryMax bounds the pauses between attempts to write the key.
-	presenceRetryMax = 5 * time.Second
 )
 
 // watchSwitch turns the reading of changes on and off.
@@ -155,46 +150,8 @@
 	}
 }
 
-// keepPresence keeps the instance's own key in the store, by which others find it.
+// keepPresence keeps the instance's own key in the store.
 func (g *Gateway) keepPresence() {
-	backoff := retry.Backoff{Base: storeBackoffBase, Max: presenceRetryMax}
-	random := rand.New(rand.NewPCG(g.incarnation, 2))
-	var lease platform.LeaseID
-	for g.ctx.Err() == nil {
-		var err error
-		if lease == 0 {
-			lease, err = g.register()
-		} else {
-			err = g.store.Keep(g.ctx, lease)
-		}
-		switch {
-		case err == nil:
-			backoff.Reset()
-			sleep(g.ctx, presenceTTL/3)
-		case errors.Is(err, platform.ErrNotFound):
-			lease = 0
-		default:
-			klog.InfoS("presence not renewed", "error", err.Error())
-			sleep(g.ctx, backoff.Next(random))
-		}
-	}
-	if lease != 0 {
-		ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
-		defer cancel()
-		// Without the end the key lapses by itself.
-		_ = g.store.End(ctx, lease)
-	}
-}
-
-func (g *Gateway) register() (platform.LeaseID, error) {
-	lease, err := g.store.Grant(g.ctx, presenceTTL)
-	if err != nil {
-		return 0, err
-	}
 	key := router.InstancePrefix + g.settings.PeerAddr
-	value := []byte(g.settings.DataCentre)
-	if _, err := g.store.Commit(g.ctx, platform.Txn{Writes: []platform.Write{{Key: key, Value: value, Lease: lease}}}); err != nil {
-		return 0, err
-	}
-	return lease, nil
+	platform.NewPresence(g.store, key, []byte(g.settings.DataCentre)).Run(g.ctx, g.incarnation)
 }
--- a/internal/platform/keyspace.go
+++ b/internal/platform/keyspace.go
@@ -42,6 +42,8 @@
 // Errors are ErrUnavailable (nothing was done), ErrUnknown (may have been done), ErrConflict (a
 // guard failed), ErrNotFound (no such lease) and ErrCompacted.
 type Keyspace interface {
+	// Get reads a key, or returns ErrNotFound.
+	Get(ctx context.Context, key string) (replica.Fact, error)
 	// List reads all keys under a prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Changes waits at most wait for changes under a prefix after a revision. It returns them with
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -6,7 +6,6 @@
 	"crypto/x509"
 	"fmt"
 	"net/netip"
-	"net/url"
 	"os"
 	"path/filepath"
 	"time"
@@ -62,7 +61,7 @@
 		return
 	}
 	l.Mapping(root, "the settings file", l.fields(), "instance", "data_centre", "region",
-		"caller_addr", "peer_addr", "admin_addr", "platform_url", "fleet_secret_file")
+		"caller_addr", "peer_addr", "admin_addr", "store_addr", "fleet_secret_file")
 	l.advertised()
 	l.addresses()
 	l.secret()
@@ -82,7 +81,7 @@
 		"caller_advertise_addr":           l.SetAddr("caller_advertise_addr", &s.CallerAdvertise),
 		"peer_advertise_addr":             l.SetAddr("peer_advertise_addr", &s.PeerAdvertise),
 		"admin_advertise_addr":            l.SetAddr("admin_advertise_addr", &s.AdminAdvertise),
-		"platform_url":                    l.platformURL,
+		"store_addr":                      l.SetAddr("store_addr", &s.StoreAddr),
 		"fleet_secret_file":               l.path("fleet_secret_file", &s.FleetSecretFile),
 		"peer_tls_cert_file":              l.path("peer_tls_cert_file", &s.PeerTLSCertFile),
 		"peer_tls_key_file":               l.path("peer_tls_key_file", &s.PeerTLSKeyFile),
@@ -121,21 +120,6 @@
 	}
 }
 
-func (l *loader) platformURL(n *yaml.Node) {
-	text, ok := l.String(n, "platform_url")
-	if !ok {
-		return
-	}
-	u, err := url.Parse(text)
-	if err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.RawQuery == "" && u.User == nil {
-		if _, err = netip.ParseAddr(u.Hostname()); err == nil {
-			l.settings.PlatformURL = text
-			return
-		}
-	}
-	l.reportf(n, "platform_url must be an http or https URL with an IP address, not %q", text)
-}
-
 // advertised fills absent advertised addresses from the listeners.
 func (l *loader) advertised() {
 	s := &l.settings
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,8 +35,8 @@
 	PeerAdvertise   string
 	AdminAdvertise  string
 
-	// PlatformURL is the base URL of the platform's services.
-	PlatformURL string
+	// StoreAddr is the platform's key-value store, IP:port.
+	StoreAddr string
 	// FleetSecretFile holds the secret that peers and admin calls prove. FleetSecret is its
 	// content without surrounding white space.
 	FleetSecretFile string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,7 +33,7 @@
 	require.Equal(t, secret, string(s.FleetSecret))
 	require.NotContains(t, fmt.Sprintf("%v %+v %#v", s, s, s), secret)
 	required := "instance: entry-1\ndata_centre: sapporo\nregion: hokkaido\ncaller_addr: 127.0.0.1:20001\n" +
-		"peer_addr: 127.0.0.1:20101\nadmin_addr: 127.0.0.1:20201\nplatform_url: http://127.0.0.1:20900\nfleet_secret_file: fleet-secret\n"
+		"peer_addr: 127.0.0.1:20101\nadmin_addr: 127.0.0.1:20201\nstore_addr: 127.0.0.1:20900\nfleet_secret_file: fleet-secret\n"
 	defaults, findings := load(t, required, secret)
 	require.Empty(t, findings)
 	s.FleetSecretFile, defaults.FleetSecretFile = "", ""
--- a/internal/standin/standin/main.go
+++ b/internal/standin/standin/main.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"strings"
@@ -15,9 +16,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bilberrywell/bilberrywell/internal/standin/enginesim"
-	"github.com/bilberrywell/bilberrywell/internal/standin/platformsim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/servicesim"
 	"github.com/bilberrywell/bilberrywell/internal/standin/simutil"
+	"github.com/bilberrywell/bilberrywell/platform/standin"
 )
 
 // options are the command line's settings.
@@ -25,10 +26,9 @@
 	kind     string
 	addr     string
 	id       string
-	platform platformsim.Options
+	rates    standin.Rates
 	engine   enginesim.Options
 	service  servicesim.Options
-	listLag  time.Duration
 	adapters string
 }
 
@@ -36,23 +36,22 @@
 	o := parse()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	server, err := o.start()
+	addr, server, err := o.start()
 	if err != nil {
 		klog.Exit(err)
 	}
-	fmt.Println(server.Addr)
+	fmt.Println(addr)
 	<-stop
 	_ = server.Close()
 }
 
 func parse() *options {
 	o := &options{}
-	flag.StringVar(&o.kind, "kind", "", "platform, engine or service")
+	flag.StringVar(&o.kind, "kind", "", "store, engine or service")
 	flag.StringVar(&o.addr, "addr", "127.0.0.1:0", "loopback address to listen on")
 	flag.StringVar(&o.id, "id", "", "id of the engine or service")
-	flag.IntVar(&o.platform.WritesPerSecond, "writes", 0, "platform: writes/s (default 300, negative: no limit)")
-	flag.IntVar(&o.platform.ReadsPerSecond, "reads", 0, "platform: reads/s (default 2000, negative: no limit)")
-	flag.DurationVar(&o.listLag, "list-lag", 0, "platform: lag of the instance list")
+	flag.IntVar(&o.rates.Writes, "writes", 300, "store: writes/s (0: no limit)")
+	flag.IntVar(&o.rates.Reads, "reads", 2000, "store: reads/s (0: no limit)")
 	o.engineFlags()
 	flag.DurationVar(&o.service.Delay, "delay", 0, "service: time before the effect of a call")
 	flag.BoolVar(&o.service.Idempotent, "idempotent", false, "service: run each idempotency key once")
@@ -81,11 +80,26 @@
 	flag.DurationVar(&e.OrderTime, "order-time", 0, "engine: time to load another model or version")
 }
 
-// start serves the stand-in of the chosen kind.
-func (o *options) start() (*simutil.Server, error) {
+// start serves the stand-in of the chosen kind. It returns its address and what ends it.
+func (o *options) start() (string, io.Closer, error) {
+	if o.kind == "store" {
+		store, err := standin.ServeStore(o.addr)
+		if err != nil {
+			return "", nil, err
+		}
+		store.SetRates(o.rates)
+		return store.Addr, store, nil
+	}
+	server, err := o.startBackend()
+	if err != nil {
+		return "", nil, err
+	}
+	return server.Addr, server, nil
+}
+
+// startBackend serves an engine or a service.
+func (o *options) startBackend() (*simutil.Server, error) {
 	switch o.kind {
-	case "platform":
-		return o.startPlatform()
 	case "engine":
 		return o.startEngine()
 	case "service":
@@ -95,14 +109,7 @@
 		o.service.Incarnation = uint64(time.Now().UnixMilli())
 		return servicesim.New(o.service).Start(o.addr)
 	}
-	return nil, oops.Errorf("unknown kind %q: want platform, engine or service", o.kind)
-}
-
-func (o *options) startPlatform() (*simutil.Server, error) {
-	sim := platformsim.New(o.platform)
-	lag := int(o.listLag / time.Millisecond)
-	sim.SetFault(platformsim.Fault{ListLagMS: &lag})
-	return sim.Start(o.addr)
+	return nil, oops.Errorf("unknown kind %q: want store, engine or service", o.kind)
 }
 
 func (o *options) startEngine() (*simutil.Server, error) {
