gateway: metrics of loads, budgets and the age of what is known

Engine loads, budgets for further attempts, the age of the store's and the peers' word, time until the first attempt and fetches of caches were asked for and missing. Gauges that depend on services are made when the metrics are read, so that a removed service leaves none behind.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -308,6 +308,13 @@
 	}
 }
 
+// stats returns what the router knows, for metrics.
+func (g *Gateway) stats() router.Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.Stats(g.now())
+}
+
 // Reload takes the settings that may change while the process runs: the retry limits and seeds.
 func (g *Gateway) Reload() {
 	s, err := g.options.Reload()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,12 +36,7 @@
 		}
 		return float64(time.Now().Unix() - m.since.Load())
 	})
-	m.set.NewGauge("bilberry_ready", func() float64 {
-		if g.ready.Load() {
-			return 1
-		}
-		return 0
-	})
+	m.set.NewGauge("bilberry_ready", func() float64 { return flag(g.ready.Load()) })
 	m.set.NewGauge("bilberry_calls_open", func() float64 { return float64(g.calls.count()) })
 	m.set.NewGauge("bilberry_log_lines_dropped", func() float64 {
 		if g.options.LogDropped == nil {
@@ -68,6 +63,12 @@
 func (m *gatewayMetrics) attemptDone(e router.AttemptDone) {
 	name := fmt.Sprintf("bilberry_attempts_total{kind=%q,outcome=%q,reason=%q,repeat=\"%t\"}", e.Kind, e.Outcome, e.Reason, e.Try > 1)
 	m.set.GetOrCreateCounter(name).Inc()
+	if e.Try == 1 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("bilberry_call_wait_seconds{kind=%q}", e.Kind)).Update(e.Waited.Seconds())
+	}
+	if e.Fetched {
+		m.set.GetOrCreateCounter(fmt.Sprintf("bilberry_cache_fetches_total{outcome=%q}", e.Outcome)).Inc()
+	}
 	if e.FirstByte > 0 {
 		m.set.GetOrCreateHistogram(fmt.Sprintf("bilberry_first_byte_seconds{kind=%q}", e.Kind)).Update(e.FirstByte.Seconds())
 	}
@@ -92,10 +93,51 @@
 	return "error"
 }
 
+// state returns gauges of what the router knows. They are made anew, because services come and go.
+func state(s router.Stats) *metrics.Set {
+	set := metrics.NewSet()
+	gauge := func(value float64, name string, args ...any) {
+		set.GetOrCreateGauge(fmt.Sprintf(name, args...), nil).Set(value)
+	}
+	gauge(float64(s.Peers), "bilberry_peers")
+	gauge(seconds(s.PeerAge), `bilberry_source_age_seconds{source="peers"}`)
+	gauge(seconds(s.StoreAge), `bilberry_source_age_seconds{source="store"}`)
+	gauge(seconds(s.FactsAge), `bilberry_source_age_seconds{source="any"}`)
+	gauge(flag(s.Watching), "bilberry_watching_store")
+	gauge(float64(s.Suspended), "bilberry_engines_suspended")
+	for _, v := range s.Services {
+		gauge(float64(v.Engines-v.Draining-v.Paused), `bilberry_engines{service=%q,state="usable"}`, v.Service)
+		gauge(float64(v.Draining), `bilberry_engines{service=%q,state="draining"}`, v.Service)
+		gauge(float64(v.Paused), `bilberry_engines{service=%q,state="paused"}`, v.Service)
+		gauge(float64(v.Own), `bilberry_running{service=%q,of="own"}`, v.Service)
+		gauge(float64(v.Running), `bilberry_running{service=%q,of="fleet"}`, v.Service)
+		gauge(v.Mean, `bilberry_engine_load{service=%q,of="mean"}`, v.Service)
+		gauge(float64(v.Max), `bilberry_engine_load{service=%q,of="max"}`, v.Service)
+		gauge(v.BudgetLeft, `bilberry_retry_budget_left{service=%q}`, v.Service)
+	}
+	return set
+}
+
+// seconds returns an age, or -1 for one that is not known.
+func seconds(age time.Duration) float64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Seconds()
+}
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // handler serves all metrics in Prometheus text format.
-func (m *gatewayMetrics) handler() http.Handler {
+func (m *gatewayMetrics) handler(stats func() router.Stats) http.Handler {
 	mux := httprouter.New()
 	mux.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		state(stats()).WritePrometheus(w)
 		m.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -34,7 +34,8 @@
 	r.loadReported(c, ev.Load)
 	r.countAttempt(c, ev.Outcome)
 	r.judge(c, ev)
-	r.emit(AttemptDone{Kind: c.route.Kind, Outcome: ev.Outcome, Reason: c.reason, Try: len(c.tried) + 1, FirstByte: ev.FirstByte})
+	r.emit(AttemptDone{Kind: c.route.Kind, Outcome: ev.Outcome, Reason: c.reason, Try: len(c.tried) + 1, FirstByte: ev.FirstByte,
+		Waited: c.sentAt - c.Arrived, Fetched: c.fetched})
 	r.note(c, "attempt_ended", "engine", c.engine, "outcome", ev.Outcome.String(), "detail", ev.Detail,
 		"ms", (r.now - c.sentAt).Milliseconds(), "first_byte_ms", ev.FirstByte.Milliseconds(), "delivered", c.delivered, "failed", ev.Failed)
 	c.tried = append(c.tried, c.engine)
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -38,6 +38,8 @@
 	engine fleet.EngineID
 	reason placement.Reason
 	sentAt time.Duration
+	// fetched tells that the engine was to fetch the prompt's cache.
+	fetched bool
 	// tried lists the engines of earlier attempts.
 	tried []fleet.EngineID
 	// arrivals counts the attempts that reached an engine, runs those that may have run.
@@ -134,6 +136,7 @@
 func (r *Router) send(c *call, pool *servicePool, choice placement.Choice) {
 	c.engine = choice.Engine.ID
 	c.reason = choice.Reason
+	c.fetched = choice.FetchFrom != ""
 	c.sentAt = r.now
 	pool.engines.Started(c.engine)
 	first, next := r.stallLimits(c, pool)
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -157,6 +157,10 @@
 	Try    int
 	// FirstByte is the time to the head of the answer; 0 without one.
 	FirstByte time.Duration
+	// Waited is the time from the request's arrival until the attempt was sent.
+	Waited time.Duration
+	// Fetched tells that the engine was to fetch the prompt's cache from another one.
+	Fetched bool
 }
 
 func (CallDone) effect()      {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -43,6 +43,8 @@
 	earliest time.Duration
 	// sent is the hash of what the last standing said.
 	sent uint64
+	// toldAt is when a peer that reads the store last knew no more and no less than this instance.
+	toldAt time.Duration
 }
 
 type peerState struct {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -232,6 +232,9 @@
 // knows something that this instance missed.
 func (r *Router) compare(from fleet.InstanceID, m *wire.Standing) {
 	if m.Digest == r.facts.Digest() {
+		if !m.StoreLost {
+			r.members.toldAt = r.now
+		}
 		if m.Newest >= r.facts.Newest() {
 			r.relays.laggingSince = 0
 		}
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -21,6 +21,8 @@
 	lostAt time.Duration
 	// listed tells that this instance has listed the keys at least once.
 	listed bool
+	// readAt is when this instance last read the store.
+	readAt time.Duration
 }
 
 func (r *Router) keysListed(ev KeysListed) {
@@ -47,6 +49,7 @@
 		r.emit(Note{Kind: "store_regained", Fields: []any{"after_ms", (r.now - r.store.lostAt).Milliseconds()}})
 	}
 	r.store.lost = false
+	r.store.readAt = r.now
 	r.registry.StoreBack(r.now)
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -133,5 +133,8 @@
 	return list
 }
 
+// Suspended returns the number of engines whose registration is missing and may come back.
+func (r *Registry) Suspended() int { return len(r.lapsed) }
+
 // Len returns the number of registered engines.
 func (r *Registry) Len() int { return len(r.engines) }
