router, gateway: a starting instance reads the store at once, and early requests wait for it

Cause: requests that reached an instance in the first 50 ms after its start were answered 503 no_configuration.

Change: the first tick is taken at once; requests wait for the first configuration up to 150 ms. TestRequestsBeforeTheFirstConfiguration failed before.

explain tells what happened to the instance of a request without an end: lost and started again, stopped, or unknown; and lists the attempts before the last one.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -106,7 +106,7 @@
 	}
 	first, last := r.Lines[0].Time.Add(-around), r.Lines[len(r.Lines)-1].Time.Add(around)
 	r.Context = l.context(r.Lines, first, last)
-	r.Cause = cause(r.Lines)
+	r.Cause = l.cause(r.Lines)
 	r.Missing = append(missing(r.Lines), l.dropped(first, last)...)
 	return r
 }
@@ -193,7 +193,7 @@
 }
 
 // cause returns the reason of a request's end in a sentence.
-func cause(lines []Line) string {
+func (l *Logs) cause(lines []Line) string {
 	var end *Line
 	for i := range lines {
 		if m := lines[i].Message; m == "attempt_ended" || m == "call_refused" || m == "caller_left" {
@@ -201,10 +201,13 @@
 		}
 	}
 	if end == nil {
-		return "the request was in flight when the log ended: its instance was stopped or lost"
+		return l.unendedCause(lines[len(lines)-1])
+	}
+	if last := lines[len(lines)-1]; last.Message == "attempt_sent" {
+		return l.unendedCause(last)
 	}
 	if end.Message == "attempt_ended" {
-		return endedCause(*end)
+		return endedCause(*end) + triedBefore(lines)
 	}
 	if end.Message == "caller_left" {
 		return "the caller left before an engine had the request"
@@ -212,6 +215,39 @@
 	return refusedCause(*end, lines)
 }
 
+// unendedCause tells what happened to the instance of a request whose end is not in the logs.
+func (l *Logs) unendedCause(last Line) string {
+	where := fmt.Sprintf("the request was at engine %s when its instance %s ", last.text("engine"), last.Instance)
+	if last.Message != "attempt_sent" {
+		where = fmt.Sprintf("the request was waiting when its instance %s ", last.Instance)
+	}
+	for _, line := range l.of(last.Instance, last.Time) {
+		after := fmt.Sprintf(", %.0f ms after the request's last line", float64(line.Time.Sub(last.Time).Milliseconds()))
+		switch line.Message {
+		case "started":
+			return where + "was lost; it started again at " + line.Time.Format(clockFormat) + after
+		case "stopped":
+			return where + "stopped at " + line.Time.Format(clockFormat) + after
+		}
+	}
+	return where + "was lost, or the log was cut: it wrote no line of a stop or a new start"
+}
+
+// of returns an instance's lines after a time, in order.
+func (l *Logs) of(instance string, after time.Time) []Line {
+	var found []Line
+	for _, line := range l.lines {
+		if line.Instance == instance && line.Time.After(after) {
+			found = append(found, line)
+		}
+	}
+	sortLines(found)
+	return found
+}
+
+// clockFormat shows times of day as in the lines of a report.
+const clockFormat = "15:04:05.000000"
+
 func endedCause(end Line) string {
 	where := fmt.Sprintf("engine %s, after %.0f ms", end.text("engine"), end.number("ms"))
 	switch end.text("outcome") {
@@ -249,16 +285,30 @@
 	if !ok {
 		reason = "the request was refused as " + code
 	}
+	if tried := attempts(lines); len(tried) > 0 {
+		reason += "; tried: " + strings.Join(tried, ", ")
+	}
+	return fmt.Sprintf("%s; configuration %s, after %.0f ms", reason, end.text("config"), end.number("age_ms"))
+}
+
+// attempts lists the ends of attempts.
+func attempts(lines []Line) []string {
 	var tried []string
 	for _, line := range lines {
 		if line.Message == "attempt_ended" {
 			tried = append(tried, line.text("engine")+" ("+line.text("outcome")+")")
 		}
 	}
-	if len(tried) > 0 {
-		reason += "; tried: " + strings.Join(tried, ", ")
+	return tried
+}
+
+// triedBefore lists the attempts before the last one, if any.
+func triedBefore(lines []Line) string {
+	tried := attempts(lines)
+	if len(tried) < 2 {
+		return ""
 	}
-	return fmt.Sprintf("%s; configuration %s, after %.0f ms", reason, end.text("config"), end.number("age_ms"))
+	return "; tried before: " + strings.Join(tried[:len(tried)-1], ", ")
 }
 
 // Write prints a report.
@@ -269,7 +319,7 @@
 		if line.text("request") != "" {
 			mark = ">"
 		}
-		fmt.Fprintf(&b, "%s %s %-20s %-22s %s\n", mark, line.Time.Format("15:04:05.000000"), line.Instance, line.Message, fieldText(line))
+		fmt.Fprintf(&b, "%s %s %-20s %-22s %s\n", mark, line.Time.Format(clockFormat), line.Instance, line.Message, fieldText(line))
 	}
 	for _, m := range r.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", m)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -286,6 +286,8 @@
 
 // loop feeds timers and peer events to the reducer.
 func (g *Gateway) loop() {
+	// The first tick starts the reading of the store.
+	g.step(router.Tick{})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	prune := g.now() + pruneInterval
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -11,6 +11,9 @@
 const (
 	// maxTries bounds the engines that are tried for one request, those that did not run it included.
 	maxTries = 4
+	// startPatience is how long a request waits for the first configuration. An instance that has
+	// just started reads it within about 50 ms, and the balancer may send it callers before.
+	startPatience = 150 * time.Millisecond
 	// startRetryAfter is the hint while the instance does not know a configuration: it is read
 	// within milliseconds once the store answers.
 	startRetryAfter = 500 * time.Millisecond
@@ -50,6 +53,42 @@
 func (r *Router) callArrived(ev CallArrived) {
 	c := &call{Call: ev.Call}
 	r.calls[c.ID] = c
+	if !r.informed() {
+		r.early = append(r.early, c)
+		return
+	}
+	r.begin(c)
+}
+
+// beginEarly begins the requests that arrived before the instance knew where to send them.
+func (r *Router) beginEarly() {
+	early := r.early
+	r.early = nil
+	for _, c := range early {
+		// The caller may have left.
+		if r.calls[c.ID] == c {
+			r.begin(c)
+		}
+	}
+}
+
+// tickEarly refuses requests that have waited for a configuration for too long.
+func (r *Router) tickEarly() {
+	waiting := r.early[:0]
+	for _, c := range r.early {
+		switch {
+		case r.calls[c.ID] != c:
+		case r.now-c.Arrived < startPatience:
+			waiting = append(waiting, c)
+		default:
+			r.refuse(c, NotRun, "no_configuration", startRetryAfter)
+		}
+	}
+	r.early = waiting
+}
+
+// begin routes a request and sends it to its first engine.
+func (r *Router) begin(c *call) {
 	if r.table == nil {
 		r.refuse(c, NotRun, "no_configuration", startRetryAfter)
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,7 +77,9 @@
 	pools    map[fleet.ServiceID]*servicePool
 	routes   map[string]*routeStats
 
-	calls   map[CallID]*call
+	calls map[CallID]*call
+	// early holds requests that arrived before the first configuration.
+	early   []*call
 	poison  poisonState
 	members memberState
 	store   storeState
@@ -158,6 +160,7 @@
 	r.tickStore()
 	r.tickMembers()
 	r.tickRelay()
+	r.tickEarly()
 	r.poison.tracker.Tick(r.now)
 	r.tickDrain()
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -264,6 +264,34 @@
 	require.False(t, must[SetReady](s).Ready)
 }
 
+// Guards against requests that are refused although the first configuration is about to arrive, and
+// against requests that wait for one that does not.
+func TestRequestsBeforeTheFirstConfiguration(t *testing.T) {
+	s := &session{t: t, r: New(Config{Instance: "i1", Format: fakeFormat{}})}
+	arrive := func(id CallID) []Effect {
+		return s.step(CallArrived{Call: Call{ID: id, Host: "h", Path: "/get/x", Arrived: s.now}})
+	}
+	require.Empty(t, arrive(1))
+	s.after(startPatience - time.Millisecond)
+	s.step(Tick{})
+	_, refused := find[Refuse](s)
+	require.False(t, refused)
+	require.Empty(t, arrive(2))
+	require.Empty(t, arrive(3))
+	s.after(time.Millisecond)
+	s.step(Tick{})
+	refusal := must[Refuse](s)
+	require.Equal(t, Refuse{Call: 1, Refusal: NotRun, Code: "no_configuration", RetryAfter: startRetryAfter}, refusal)
+	s.step(CallerGone{Call: 3})
+	s.step(KeysListed{Facts: []replica.Fact{
+		{Key: "config", Revision: 1, Value: []byte("1")}, {Key: "engines/e1", Revision: 2, Value: []byte("ready")},
+	}, At: 2})
+	require.Equal(t, CallID(2), must[Send](s).Call)
+	s.step(Tick{})
+	_, sent := find[Send](s)
+	require.False(t, sent, "the caller of the third request has left")
+}
+
 // Guards against an instance that starts while the store is down and stays idle although its peers
 // know everything.
 func TestStartsFromPeers(t *testing.T) {
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -229,6 +229,9 @@
 
 // updateReady reports ready once requests can be routed.
 func (r *Router) updateReady() {
+	if r.informed() {
+		r.beginEarly()
+	}
 	ready := r.informed() && !r.drain.active
 	if ready != r.ready {
 		r.ready = ready
