placement: fetch a prompt from the engine that this instance saw read it

Cause: a prompt was fetched from the first engine in its key's order.

Change: an instance remembers for 10 to 20 s, bounded, which engine answered with a key, and names that engine; an overflow to the least loaded engine fetches too.

TestFetchesFromTheEngineThatReadThePrompt fails without it.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -13,6 +13,9 @@
 		return
 	}
 	r.loadReported(c, ev.Load)
+	if pool := r.pools[c.service]; pool != nil && c.route.Affinity {
+		pool.engines.Answered(r.now, c.engine, uint64(c.Prompt))
+	}
 }
 
 func (r *Router) loadReported(c *call, load *placement.Load) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -121,7 +121,8 @@
 	ranking *affinity.Pool
 	choices []affinity.Choice
 	// used tells that a request was sent to an engine of the pool.
-	used bool
+	used    bool
+	holders holders
 }
 
 // member is an engine with what is known of it.
@@ -277,15 +278,31 @@
 		if i > 0 {
 			reason = Overflow
 		}
-		return Choice{Engine: m.Engine, Reason: reason, FetchFrom: p.fetchSource(now, m), Load: p.load(now, m), Mean: mean}, true
+		return Choice{Engine: m.Engine, Reason: reason, FetchFrom: p.fetchSource(now, w.Key, m), Load: p.load(now, m), Mean: mean}, true
 	}
 	return Choice{}, false
 }
 
-// fetchSource returns the address of the engine that most likely holds a prompt that m lacks:
-// the first in the key's order besides m that has been in the pool for long. It is empty when m
-// itself is the first such engine.
-func (p *Pool) fetchSource(now time.Duration, m *member) string {
+// Answered notes that an engine has read the prompt of a key.
+func (p *Pool) Answered(now time.Duration, id fleet.EngineID, key uint64) {
+	if key != 0 {
+		p.holders.note(now, key, id)
+	}
+}
+
+// fetchSource returns the address of the engine that most likely holds a prompt that m lacks: the
+// one that this instance last saw read it, else the first in the key's order besides m that has been
+// in the pool for long. It is empty when that is m itself.
+func (p *Pool) fetchSource(now time.Duration, key uint64, m *member) string {
+	if id, ok := p.holders.of(key); ok {
+		holder := p.members[id]
+		switch {
+		case holder == m:
+			return ""
+		case holder != nil && holder.health.admits(now, false):
+			return holder.Addr
+		}
+	}
 	for _, c := range p.choices {
 		other := p.order[c.Index]
 		if other == m && p.settled(now, m) {
@@ -327,11 +344,11 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	reason := LeastLoaded
+	reason, source := LeastLoaded, ""
 	if w.Key != 0 {
-		reason = Overflow
+		reason, source = Overflow, p.fetchSource(now, w.Key, best)
 	}
-	return Choice{Engine: best.Engine, Reason: reason, Load: p.load(now, best), Mean: mean}, true
+	return Choice{Engine: best.Engine, Reason: reason, FetchFrom: source, Load: p.load(now, best), Mean: mean}, true
 }
 
 // cost is the expected wait of one more request relative to an idle local engine of usual speed.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -129,6 +130,28 @@
 	}
 }
 
+// Guards against a prompt that is read again although this instance knows which engine read it.
+func TestFetchesFromTheEngineThatReadThePrompt(t *testing.T) {
+	p := pool(4)
+	first := choose(t, p, 0, placement.Want{Key: 7}).Engine
+	second := choose(t, p, 0, placement.Want{Key: 7, Exclude: []fleet.EngineID{first.ID}})
+	require.Equal(t, first.Addr, second.FetchFrom)
+	p.Answered(0, second.Engine.ID, 7)
+	require.Empty(t, choose(t, p, 0, placement.Want{Key: 7, Exclude: []fleet.EngineID{first.ID}}).FetchFrom)
+	require.Equal(t, second.Engine.Addr, choose(t, p, time.Second, placement.Want{Key: 7}).FetchFrom)
+	p.Answered(time.Second, first.ID, 7)
+	require.Empty(t, choose(t, p, time.Second, placement.Want{Key: 7}).FetchFrom)
+	// What was read long ago may be gone, and the first engine is as good a guess as any.
+	p.Answered(time.Second, second.Engine.ID, 7)
+	p.Answered(20*time.Second, first.ID, 8)
+	p.Answered(40*time.Second, first.ID, 8)
+	require.Empty(t, choose(t, p, 40*time.Second, placement.Want{Key: 7}).FetchFrom)
+	// An engine that has left can't be fetched from.
+	p.Answered(40*time.Second, second.Engine.ID, 7)
+	p.SetEngines(40*time.Second, slices.DeleteFunc(engines(4), func(e placement.Engine) bool { return e.ID == second.Engine.ID }))
+	require.Empty(t, choose(t, p, 40*time.Second, placement.Want{Key: 7}).FetchFrom)
+}
+
 // Guards against a draining engine whose cache is read again although it could be copied.
 func TestDrainingEngineGivesItsCache(t *testing.T) {
 	p := pool(4)
