router: watchers that only stand in read changes less often

Change: the first watcher pauses 350 ms between two calls, the others 600 ms; the rank follows each election. Before, all paused 250 ms.

TestFewInstancesWatchTheStore and TestPauseFollowsTheRank guard it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,7 +207,7 @@
 	case router.SetReady:
 		g.ready.Store(e.Ready)
 	case router.WatchStore:
-		g.watch.set(e.On)
+		g.watch.set(e.On, e.Pause)
 	case router.CheckEngine:
 		go g.checkEngine(e)
 	case router.EngineGone:
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -29,14 +29,15 @@
 type watchSwitch struct {
 	mu     sync.Mutex
 	on     bool
+	pause  time.Duration
 	cancel context.CancelFunc
 	wake   chan struct{}
 }
 
-func (s *watchSwitch) set(on bool) {
+func (s *watchSwitch) set(on bool, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.on = on
+	s.on, s.pause = on, pause
 	if !on && s.cancel != nil {
 		s.cancel()
 	}
@@ -49,6 +50,13 @@
 	}
 }
 
+// between is the least time between two calls for changes.
+func (s *watchSwitch) between() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pause
+}
+
 // await waits until reading is on. It returns a context that ends when it is turned off.
 func (s *watchSwitch) await(ctx context.Context) (context.Context, bool) {
 	for ctx.Err() == nil {
@@ -131,16 +139,12 @@
 		return after, err
 	}
 	g.step(router.KeysChanged{Facts: facts, At: at})
-	if spent := g.now() - began; spent < changePause {
-		sleep(ctx, changePause-spent)
+	if spent, pause := g.now()-began, g.watch.between(); spent < pause {
+		sleep(ctx, pause-spent)
 	}
 	return at, nil
 }
 
-// changePause is the least time between two calls for changes. Engines and instances that start
-// together would otherwise cost every watcher a call each; configurations have two seconds.
-const changePause = 250 * time.Millisecond
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -103,7 +103,11 @@
 type SetReady struct{ Ready bool }
 
 // WatchStore starts or stops reading changes from the store.
-type WatchStore struct{ On bool }
+type WatchStore struct {
+	On bool
+	// Pause is the least time between two calls for changes.
+	Pause time.Duration
+}
 
 // SendMessage sends a message to an instance.
 type SendMessage struct {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -18,6 +18,9 @@
 	// watchers is the number of instances that read changes from the store for all. With three
 	// a change arrives at once although one of them has failed and another lost the store.
 	watchers = 3
+	// firstWatchPause and laterWatchPause are explained at watchPause.
+	firstWatchPause = 350 * time.Millisecond
+	laterWatchPause = 600 * time.Millisecond
 	// standingInterval is the longest time between standings, busyInterval the shortest.
 	standingInterval = time.Second
 	busyInterval     = 200 * time.Millisecond
@@ -150,21 +153,34 @@
 			candidates = append(candidates, affinity.Candidate{ID: string(id), Weight: 1})
 		}
 	}
-	on := true
+	on, was := true, r.store.rank
 	order := affinity.Rank(fleet.Hash("watchers"), candidates)
 	if r.informed() && len(candidates) > watchers {
 		on = slices.Contains(order[:watchers], 0)
 	}
 	r.store.rank = min(slices.Index(order, 0), watchers)
-	if on != r.store.watching {
+	changed := on != r.store.watching
+	if changed || on && watchPause(was) != watchPause(r.store.rank) {
+		r.emit(WatchStore{On: on, Pause: watchPause(r.store.rank)})
+	}
+	if changed {
 		r.store.watching = on
 		// An instance that no longer reads the store can't say that it has lost it.
 		r.store.lost = r.store.lost && on
-		r.emit(WatchStore{On: on})
 		r.emit(Note{Kind: "watching_store", Fields: []any{"on", on, "candidates", len(candidates)}})
 	}
 }
 
+// watchPause is the least time between two calls for changes by the watcher of a rank. Registrations
+// change all the time, and every call is paid for. The first watcher brings changes early enough for
+// the users' bound of 2 s on configurations; the others only stand in for it.
+func watchPause(rank int) time.Duration {
+	if rank == 0 {
+		return firstWatchPause
+	}
+	return laterWatchPause
+}
+
 // planLinks sets the instances to hold links with: those registered in the store, and the seeds
 // while there are none.
 func (r *Router) planLinks() {
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -38,7 +38,7 @@
 // Guards against a fleet in which every instance reads every change from the store, and against
 // one in which nobody does.
 func TestFewInstancesWatchTheStore(t *testing.T) {
-	watching := 0
+	watching, pauses := 0, map[time.Duration]int{}
 	for i := range 12 {
 		s := newSession(t, 1)
 		s.r.cfg.Instance = fleet.InstanceID(fmt.Sprintf("i%d", i+1))
@@ -53,9 +53,24 @@
 		s.step(Tick{})
 		if s.r.store.watching {
 			watching++
+			pauses[watchPause(s.r.store.rank)]++
 		}
 	}
 	require.Equal(t, watchers, watching)
+	require.Equal(t, map[time.Duration]int{firstWatchPause: 1, laterWatchPause: watchers - 1}, pauses)
+}
+
+// Guards against a first watcher that keeps the pause of a later one, and the reverse.
+func TestPauseFollowsTheRank(t *testing.T) {
+	s := &session{t: t, r: New(Config{Instance: "i1", Format: fakeFormat{}})}
+	s.step(Tick{})
+	require.Equal(t, WatchStore{On: true, Pause: firstWatchPause}, must[WatchStore](s))
+	s.r.store.rank = 1
+	s.step(Tick{})
+	require.Equal(t, WatchStore{On: true, Pause: firstWatchPause}, must[WatchStore](s))
+	s.step(Tick{})
+	_, again := find[WatchStore](s)
+	require.False(t, again)
 }
 
 // Guards against an instance that goes on trusting watchers that have lost the store.
