gateway: limits of the configuration on headers and the time to send them

max_header_bytes and header_timeout_ms were decoded and not applied: headers were bounded by 64 KB and 10 s whatever the operator wrote, and a body could take any time. Headers above the limit are answered 431, late ones end the connection, and a body that does not arrive while its caller waits for an answer is answered 408, which is true because nothing was sent on. TestLimitsOfTheConfiguration failed on each of the three.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -47,7 +48,7 @@
 	c := &caller{g: g, w: w, r: r, control: http.NewResponseController(w), head: g.protocol.ReadCall(r.Header)}
 	c.lastEvent = c.head.LastEvent
 	c.target = requestTarget(r)
-	if !c.readBody() {
+	if c.headerTooLarge() || !c.readBody() {
 		return
 	}
 	id, commands := g.calls.add()
@@ -80,11 +81,62 @@
 	return r.URL.RequestURI()
 }
 
-// readBody reads the whole body. It is false when the request has been answered instead.
+// headerTooLarge answers a request whose header is above the configured limit.
+func (c *caller) headerTooLarge() bool {
+	t := c.g.table.Load()
+	if t == nil || t.Limits.HeaderBytes <= 0 {
+		return false
+	}
+	size := len(c.r.Method) + len(c.target) + len(" HTTP/1.1\r\n ") + len("Host: \r\n") + len(c.r.Host)
+	for name, values := range c.r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	if size <= t.Limits.HeaderBytes {
+		return false
+	}
+	c.writeError(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", 0)
+	return true
+}
+
+// defaultBodyTime bounds the time to receive a body where the caller did not say how long it waits.
+const defaultBodyTime = 30 * time.Second
+
+// readBody reads the whole body, for no longer than the caller waits for its answer. It is false
+// when the request has been answered instead.
 func (c *caller) readBody() bool {
 	if c.r.Body == nil || c.r.Body == http.NoBody {
 		return true
 	}
+	within := c.head.Patience
+	if within <= 0 {
+		within = defaultBodyTime
+	}
+	if err := c.control.SetReadDeadline(time.Now().Add(within)); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if !c.receiveBody() {
+		// The deadline stays: net/http reads what is left of the body before it closes the connection.
+		return false
+	}
+	if err := c.control.SetReadDeadline(time.Time{}); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
+// bodyFailed answers a request whose body did not arrive in time, and ends one that broke off.
+func (c *caller) bodyFailed(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		panic(http.ErrAbortHandler)
+	}
+	c.w.Header().Set("Connection", "close")
+	c.writeError(http.StatusRequestTimeout, "body_too_slow", 0)
+	return false
+}
+
+func (c *caller) receiveBody() bool {
 	limit := int64(defaultBodyBytes)
 	if t := c.g.table.Load(); t != nil && t.Limits.BodyBytes > 0 {
 		limit = t.Limits.BodyBytes
@@ -92,7 +144,7 @@
 	if n := c.r.ContentLength; n > 0 && n <= limit {
 		c.body = make([]byte, n)
 		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
-			panic(http.ErrAbortHandler)
+			return c.bodyFailed(err)
 		}
 		// The end must be read too, so that net/http notices a caller that leaves.
 		_, err := io.Copy(io.Discard, c.r.Body)
@@ -105,7 +157,7 @@
 		return false
 	}
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		return c.bodyFailed(err)
 	}
 	c.body = body
 	return true
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// headerTimeout bounds the time to receive a request's header until a configuration says it.
+	// headerTimeout bounds the time to receive a request's header until a configuration asks for less.
 	headerTimeout = 10 * time.Second
-	// headerBytes bounds a request's header. Configurations ask for less.
+	// headerBytes bounds a request's header until a configuration asks for less.
 	headerBytes = 64 << 10
 	// defaultIdleTimeout applies to idle caller connections until a configuration says it.
 	defaultIdleTimeout = time.Minute
@@ -50,7 +50,7 @@
 			return nil, oops.In("gateway").With("listener", l.name).Wrapf(err, "listen on %s", l.addr)
 		}
 		if l.name == "callers" {
-			opened = &callerListener{Listener: opened, idle: g.idleTimeout}
+			opened = &callerListener{Listener: opened, idle: g.idleTimeout, header: g.headerTimeout}
 		}
 		l.server.ErrorLog = log.New(io.Discard, "", 0)
 		servers = append(servers, &httputil.Server{Name: l.name, Listener: opened, HTTP: l.server})
@@ -66,7 +66,7 @@
 		DisableGeneralOptionsHandler: true,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if conn, ok := c.(*callerConn); ok {
-				conn.setIdle(state == http.StateIdle)
+				conn.setActive(state == http.StateActive)
 			}
 		},
 	}
@@ -92,11 +92,19 @@
 	return defaultIdleTimeout
 }
 
-// callerListener wraps connections so that their idle timeout follows the configuration, which
-// changes while net/http holds its own timeouts fixed.
+// headerTimeout is how long a caller may take to send a header by the configuration in force.
+func (g *Gateway) headerTimeout() time.Duration {
+	if t := g.table.Load(); t != nil && t.Limits.HeaderTimeout > 0 {
+		return t.Limits.HeaderTimeout
+	}
+	return headerTimeout
+}
+
+// callerListener wraps connections so that their timeouts follow the configuration, which changes
+// while net/http holds its own timeouts fixed.
 type callerListener struct {
 	net.Listener
-	idle func() time.Duration
+	idle, header func() time.Duration
 }
 
 // Accept implements net.Listener.
@@ -105,27 +113,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, idle: l.idle}, nil
+	return &callerConn{Conn: c, idle: l.idle, header: l.header}, nil
 }
 
 type callerConn struct {
 	net.Conn
-	idle   func() time.Duration
-	isIdle atomic.Bool
+	idle, header func() time.Duration
+	// active tells that the header of a request has arrived and its answer is not finished.
+	active atomic.Bool
 }
 
-// setIdle follows the connection's state. The deadline of an idle connection must not outlast
+// setActive follows the connection's state. The deadline of an idle connection must not outlast
 // the wait, because it would end the next request.
-func (c *callerConn) setIdle(idle bool) {
-	if c.isIdle.Swap(idle) && !idle {
+func (c *callerConn) setActive(active bool) {
+	if !c.active.Swap(active) && active {
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
-// SetReadDeadline replaces the missing deadline of an idle connection by the configured one.
+// SetReadDeadline puts the configured timeouts in the place of those of net/http: the idle timeout
+// where it sets none, and the one for headers where it is shorter.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if t.IsZero() && c.isIdle.Load() {
-		t = time.Now().Add(c.idle())
+	if !c.active.Load() {
+		now := time.Now()
+		if t.IsZero() {
+			t = now.Add(c.idle())
+		} else if limit := now.Add(c.header()); limit.Before(t) {
+			t = limit
+		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
