logsink: write whole lines, at most 4 KB at once

Cause: what had collected in 200 ms went out in one write.

Change: writes end at a line's end and hold at most 4 KB, which a pipe takes at once. TestWritesHoldWholeLines failed before.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -6,6 +6,7 @@
 package logsink
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,6 +25,9 @@
 	bufferBytes = 64 << 10
 	// maxLineBytes bounds one line.
 	maxLineBytes = 4 << 10
+	// maxWriteBytes bounds one write. A pipe takes 4 KB at once, and collectors that read less than
+	// a write cut the line at its end.
+	maxWriteBytes = 4 << 10
 	// burstSeconds is the time for which unused lines are saved up.
 	burstSeconds = 2
 )
@@ -231,12 +235,26 @@
 	lines := c.pending
 	c.pending = nil
 	c.mu.Unlock()
-	if len(lines) > 0 {
+	for len(lines) > 0 {
+		n := wholeLines(lines)
 		// There is nowhere to report that the log can't be written.
-		_, _ = c.out.Write(lines)
+		_, _ = c.out.Write(lines[:n])
+		lines = lines[n:]
 	}
 }
 
+// wholeLines returns the length of the whole lines at the start that fit into one write, and at
+// least one line.
+func wholeLines(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	return bytes.IndexByte(lines, '\n') + 1
+}
+
 // tellDropped logs how many lines of each message were dropped, once a second.
 func (c *core) tellDropped() {
 	if len(c.dropped) == 0 || c.now().Sub(c.told) < time.Second {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 )
 
@@ -88,3 +89,32 @@
 	close(w.release)
 	s.Close()
 }
+
+// writes keeps each write.
+type writes struct{ list []string }
+
+func (w *writes) Write(b []byte) (int, error) {
+	w.list = append(w.list, string(b))
+	return len(b), nil
+}
+
+// Guards against a burst in one write, of which a collector cut the end off: lines of requests were
+// missing after a machine had stood still.
+func TestWritesHoldWholeLines(t *testing.T) {
+	out := &writes{}
+	sink := New(out, 1000)
+	log := logr.New(sink)
+	for i := range 300 {
+		log.Info("line", "number", i, "text", strings.Repeat("x", i%200))
+	}
+	log.Info("line", "number", 300, "text", strings.Repeat("y", 3900))
+	sink.Close()
+	require.Greater(t, len(out.list), 5)
+	lines := 0
+	for _, w := range out.list {
+		require.LessOrEqual(t, len(w), 4096)
+		require.True(t, strings.HasSuffix(w, "}\n"))
+		lines += strings.Count(w, "\n")
+	}
+	require.Equal(t, 301, lines)
+}
