router: an engine's failure that is held back is passed on in the place of a refusal

Change: once an engine's failure is held back, it is the answer where no other attempt follows, with a line failure_delivered that explain reads. TestHeldFailureIsBetterThanARefusal failed before.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -158,7 +158,7 @@
 		case "attempt_ended":
 			ended++
 			final = final || isFinal(line)
-		case "call_refused", "caller_left":
+		case "call_refused", "caller_left", "failure_delivered":
 			final = true
 		}
 	}
@@ -196,7 +196,7 @@
 func (l *Logs) cause(lines []Line) string {
 	var end *Line
 	for i := range lines {
-		if m := lines[i].Message; m == "attempt_ended" || m == "call_refused" || m == "caller_left" {
+		if m := lines[i].Message; m == "attempt_ended" || m == "call_refused" || m == "caller_left" || m == "failure_delivered" {
 			end = &lines[i]
 		}
 	}
@@ -209,6 +209,9 @@
 	if end.Message == "attempt_ended" {
 		return endedCause(*end) + triedBefore(lines)
 	}
+	if end.Message == "failure_delivered" {
+		return fmt.Sprintf("engine %s ran the request and failed it, and %s", end.text("engine"), refusedCause(*end, lines))
+	}
 	if end.Message == "caller_left" {
 		return "the caller left before an engine had the request"
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -39,6 +39,11 @@
 	} {
 		t.Run(name, func(t *testing.T) { require.Contains(t, report(t, "r", c.end, sent).Cause, c.want) })
 	}
+	delivered := report(t, "r", sent,
+		line(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"errored","ms":12`),
+		line(2, "a", "failure_delivered", `,"request":"r","engine":"e1","code":"no_engine","config":7,"age_ms":20`))
+	require.Contains(t, delivered.Cause, "engine e1 ran the request and failed it, and no engine that was not tried already could take")
+	require.Empty(t, delivered.Missing)
 	refused := report(t, "r", sent,
 		line(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"broken","ms":12`),
 		line(2, "a", "call_refused", `,"request":"r","code":"engine_lost","config":7,"age_ms":20`))
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -50,6 +50,7 @@
 	case Unsent, Rejected, Misdirected:
 		r.repeatOr(c, func() { r.giveUp(c, ev.Outcome.String()) })
 	case Errored:
+		c.held = c.engine
 		r.repeatOr(c, func() { r.deliver(c) })
 	case Broken, Stalled:
 		r.repeatOr(c, func() { r.refuse(c, MayHaveRun, "engine_lost", 0) })
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -48,6 +48,8 @@
 	// arrivals counts the attempts that reached an engine, runs those that may have run.
 	arrivals, runs int
 	delivered      bool
+	// held is the engine whose failure is held back, or empty.
+	held fleet.EngineID
 }
 
 func (r *Router) callArrived(ev CallArrived) {
@@ -234,6 +236,13 @@
 }
 
 func (r *Router) refuse(c *call, refusal Refusal, code string, retryAfter time.Duration) {
+	if c.held != "" && !c.delivered {
+		// An engine's own failure says more than a refusal.
+		r.note(c, "failure_delivered", "engine", c.held, "code", code, "runs", c.runs, "tries", len(c.tried),
+			"age_ms", (r.now - c.Arrived).Milliseconds(), "config", r.version())
+		r.deliver(c)
+		return
+	}
 	r.emit(Refuse{Call: c.ID, Refusal: refusal, Code: code, RetryAfter: retryAfter})
 	r.note(c, "call_refused", "code", code, "host", c.Host, "path", c.Path, "runs", c.runs, "tries", len(c.tried),
 		"age_ms", (r.now - c.Arrived).Milliseconds(), "config", r.version())
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// Guards against a refusal in the place of an engine's failure that is held back.
+func TestHeldFailureIsBetterThanARefusal(t *testing.T) {
+	s := newSession(t, 2)
+	s.call("/get/x")
+	s.end(Errored)
+	s.end(Unsent)
+	must[Deliver](s)
+	_, refused := find[Refuse](s)
+	require.False(t, refused)
+	require.Empty(t, s.r.calls)
+	// A caller that has a part of a stream can't get a failure.
+	s.call("/chat/x")
+	s.end(Errored)
+	s.step(AttemptEnded{Call: s.last, Outcome: Broken, Delivered: true})
+	require.Equal(t, MayHaveRun, must[Refuse](s).Refusal)
+}
+
 // Guards against a lost answer that is waited for although another engine could still be on time,
 // and against giving up an engine where no other attempt may follow.
 func TestStallLimits(t *testing.T) {
