upstream, router: idle connections to an engine stay within its limit

Cause: max_connections was decoded and not applied. Each instance kept up to 16 idle connections to an engine: 82 instances could hold 1,312 where order-desk engines accept 100 and reset the others, on which a request that must not run twice may have been sent.

Change: all instances together keep at most 0.75 of the limit idle, each its equal part; a part below one connection is kept with that probability. TestIdleShare and TestIdleShareShrinksWithTheFleet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,7 +121,7 @@
 		FetchFrom: a.cmd.FetchFrom,
 		LastEvent: lastEvent,
 	})
-	return &upstream.Request{Method: a.r.Method, Target: a.target, Host: a.r.Host, Header: header, Body: a.body}
+	return &upstream.Request{Method: a.r.Method, Target: a.target, Host: a.r.Host, Header: header, Body: a.body, IdleShare: a.cmd.IdleShare}
 }
 
 // mine tells whether an answer belongs to this request. Engines echo the request's id; rejections
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,7 +231,7 @@
 func (g *Gateway) checkEngine(e router.CheckEngine) {
 	conn, err := g.engines.Open(g.ctx, e.Addr)
 	if err == nil {
-		g.engines.Put(conn)
+		g.engines.Put(conn, 0)
 	}
 	g.step(router.EngineChecked{Engine: e.Engine, Reachable: err == nil})
 }
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -190,6 +190,7 @@
 		Customer:    c.customer,
 		Urgency:     min(max(c.urgency, 0), maxUrgency),
 		FetchFrom:   choice.FetchFrom,
+		IdleShare:   r.idleShare(c.service),
 		Until:       c.until,
 		HoldFailure: r.mayRepeat(c, 1),
 		Resume:      c.delivered,
@@ -198,6 +199,20 @@
 		"mean", choice.Mean, "try", len(c.tried)+1, "config", r.table.Version, "fetch", choice.FetchFrom)
 }
 
+// idlePart is the part of an engine's connections that all instances together may keep idle. The rest
+// is for requests that run.
+const idlePart = 0.75
+
+// idleShare is this instance's part of the idle connections to an engine of a service. Beyond its
+// limit an engine resets connections, and a request that was sent on one may have run.
+func (r *Router) idleShare(id fleet.ServiceID) float64 {
+	service, ok := r.table.Service(id)
+	if !ok || service.MaxConnections <= 0 {
+		return 0
+	}
+	return idlePart * float64(service.MaxConnections) / float64(len(r.members.linked)+1)
+}
+
 const (
 	// stallFactor is the multiple of a route's usual latency from which an answer counts as lost.
 	// Work times vary by about half of their mean.
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -29,6 +29,9 @@
 	Urgency int
 	// FetchFrom is an engine that holds the prompt's cache, or empty.
 	FetchFrom string
+	// IdleShare is the part of the engine's connections that this instance may keep idle; 0 without
+	// a limit. It may be below one.
+	IdleShare float64
 	// Until is when the request must have its final answer.
 	Until time.Duration
 	// HoldFailure asks that an engine's failure is held back: another attempt may follow.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -35,7 +35,7 @@
 	}
 	return routing.Config{
 		Version:  version,
-		Services: []routing.Service{{ID: "s"}},
+		Services: []routing.Service{{ID: "s", MaxConnections: 40}},
 		Routes: []routing.Route{
 			route("/get/", routing.Idempotent, 2, false), route("/post/", routing.NonIdempotent, 1, false),
 			route("/plan/", routing.Streaming, 1, false), route("/chat/", routing.Streaming, 2, true),
@@ -140,6 +140,14 @@
 	}
 }
 
+// Guards against instances that together keep more connections than an engine accepts.
+func TestIdleShareShrinksWithTheFleet(t *testing.T) {
+	s := newSession(t, 1)
+	require.InDelta(t, 30, s.call("/get/x").IdleShare, 1e-9)
+	s.link(59)
+	require.InDelta(t, 0.5, s.call("/get/x").IdleShare, 1e-9)
+}
+
 // Guards against a refusal in the place of an engine's failure that is held back.
 func TestHeldFailureIsBetterThanARefusal(t *testing.T) {
 	s := newSession(t, 2)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -43,6 +43,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// IdleShare is the number of idle connections that may be kept to the engine afterwards. Below
+	// one it is the probability that one is kept. 0 stands for no limit of the engine's.
+	IdleShare float64
 }
 
 // Exchange is one request and its answer.
@@ -54,6 +57,7 @@
 	// keeps or closes it.
 	unfinished atomic.Int32
 	unusable   atomic.Bool
+	idleShare  float64
 	// Response is the head of the answer. Its body is read by Read.
 	Response *http.Response
 	done     bool
@@ -64,7 +68,7 @@
 //
 // The error is ErrUnsent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, c *Conn, req *Request, mine func(*http.Response) bool) (*Exchange, error) {
-	x := &Exchange{conn: c, pool: p}
+	x := &Exchange{conn: c, pool: p, idleShare: req.IdleShare}
 	x.unfinished.Store(2)
 	x.stop = context.AfterFunc(ctx, c.Close)
 	if ctx.Err() != nil {
@@ -115,7 +119,7 @@
 		return
 	}
 	_ = x.conn.net.SetDeadline(time.Time{})
-	x.pool.Put(x.conn)
+	x.pool.Put(x.conn, x.idleShare)
 }
 
 func encode(req *Request) []byte {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -121,8 +122,9 @@
 	return c
 }
 
-// Put keeps a connection whose exchange has ended cleanly.
-func (p *Pool) Put(c *Conn) {
+// Put keeps a connection whose exchange has ended cleanly, within the share of the engine's idle
+// connections; see Request.
+func (p *Pool) Put(c *Conn, share float64) {
 	c.expires = time.Now().Add(c.life)
 	if c.reader.Buffered() > 0 {
 		c.Close()
@@ -130,13 +132,26 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.addr]) >= maxIdlePerEngine {
+	if p.closed || len(p.idle[c.addr]) >= idleLimit(share) {
 		c.Close()
 		return
 	}
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// idleLimit turns a share into a number. A share below one is kept on average over all callers.
+func idleLimit(share float64) int {
+	switch {
+	case share <= 0 || share >= maxIdlePerEngine:
+		return maxIdlePerEngine
+	case share >= 1:
+		return int(share)
+	case rand.Float64() < share:
+		return 1
+	}
+	return 0
+}
+
 // Idle returns the number of idle connections.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -145,6 +145,37 @@
 	p.Close()
 }
 
+// Guards against idle connections of many instances that together exceed what an engine accepts.
+func TestIdleShare(t *testing.T) {
+	addr := engine(t, func(c net.Conn, r *bufio.Reader) {
+		for read(r) {
+			_, _ = io.WriteString(c, mine)
+		}
+	})
+	keep := func(share float64, open int) int {
+		p := upstream.NewPool(nil)
+		defer p.Close()
+		var conns []*upstream.Conn
+		for range open {
+			c, err := p.Open(context.Background(), addr)
+			require.NoError(t, err)
+			conns = append(conns, c)
+		}
+		for _, c := range conns {
+			p.Put(c, share)
+		}
+		return p.Idle()
+	}
+	require.Equal(t, 16, keep(0, 20), "no limit of the engine's")
+	require.Equal(t, 16, keep(100, 20))
+	require.Equal(t, 3, keep(3.7, 20))
+	kept := 0
+	for range 200 {
+		kept += keep(0.3, 1)
+	}
+	require.InDelta(t, 60, kept, 40)
+}
+
 // slowWriter returns from Write some time after the bytes have left.
 type slowWriter struct{ net.Conn }
 
