router: many small facts travel packed along a tree; small fleets get large values directly

Change: facts of more than 64 kB over all peers are packed together and go along the trees of the first two watchers; answers to repairs are packed too. Up to 16 peers get large values directly. Watchers pause 300 and 450 ms in place of 350 and 600, and an offered value is asked for after 700 ms in place of 900.

TestManyFactsTravelAlongATree and TestSmallFleetsGetLargeValuesDirectly failed before; tests of trees use 20 links, because 10 are served directly.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -19,8 +19,8 @@
 	// a change arrives at once although one of them has failed and another lost the store.
 	watchers = 3
 	// firstWatchPause and laterWatchPause are explained at watchPause.
-	firstWatchPause = 350 * time.Millisecond
-	laterWatchPause = 600 * time.Millisecond
+	firstWatchPause = 300 * time.Millisecond
+	laterWatchPause = 450 * time.Millisecond
 	// standingInterval is the longest time between standings, busyInterval the shortest.
 	standingInterval = time.Second
 	busyInterval     = 200 * time.Millisecond
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -14,9 +14,19 @@
 	// hundred bytes, a configuration tens of kilobytes: sent to every instance of a large fleet
 	// by one with a slow link, it would arrive too late.
 	largeBytes = 4 << 10
+	// directBytes is the size of small facts, summed over all peers, up to which a watcher sends them
+	// to each peer by itself. Beyond, a weak link of 1.25 MB/s would delay what follows by over 50 ms.
+	directBytes = 64 << 10
+	// batchFacts bounds the facts of one packed message: about 150 KB before packing.
+	batchFacts = 500
+	// packFacts is the number of facts from which the answer to a request for repair is packed.
+	packFacts = 20
 	// fanout is the number of instances to which each node of the tree passes a large value on.
 	// With four, 82 instances are reached in four steps.
 	fanout = 4
+	// directPeers is the number of instances up to which the first instance sends a large value to each
+	// by itself: an instance that is lost then hides it from no other.
+	directPeers = 16
 	// trees is the number of watchers that start a tree, in case that the first one fails.
 	trees = 2
 	// treeDelay is the time by which the second watcher starts its tree later.
@@ -26,7 +36,7 @@
 	treeInterval = 250 * time.Millisecond
 	// offerPatience is how long an instance waits for a large value on a tree before it asks the
 	// instance that offered it. It outlasts the tree of the last watcher.
-	offerPatience = 900 * time.Millisecond
+	offerPatience = 700 * time.Millisecond
 	// lagPatience is how long a difference to a peer's facts may last before it is repaired. Facts
 	// arrive within milliseconds, and standings overtake them.
 	lagPatience = 500 * time.Millisecond
@@ -42,6 +52,9 @@
 	// it last did so.
 	trees   map[string]laterTree
 	started map[string]time.Duration
+	// batch holds small facts whose tree this instance starts at batchAt.
+	batch   []wire.StoreFact
+	batchAt time.Duration
 	// packed holds the last packed value of each key.
 	packed map[string]wire.StoreFact
 	// laggingSince is when this instance was first found to lack something, or 0.
@@ -68,26 +81,77 @@
 }
 
 // relay tells peers what this instance read from the store. Large values travel along a tree that
-// the first watcher starts at once and the second one later; both and the others offer them too.
+// the first watcher starts at once and the second one later; all watchers offer them too. Small facts
+// go to each peer directly, unless there are so many of them that they would hold up the links.
 func (r *Router) relay(fresh []replica.Fact) {
 	if len(fresh) == 0 {
 		return
 	}
-	m := &wire.StoreFacts{}
+	var small, offers []wire.StoreFact
+	bytes := 0
 	for _, f := range fresh {
 		if len(f.Value) < largeBytes {
-			m.Facts = append(m.Facts, wireFact(f))
+			small = append(small, wireFact(f))
+			bytes += len(f.Key) + len(f.Value)
 			continue
 		}
-		m.Facts = append(m.Facts, wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true})
+		offers = append(offers, wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true})
 		if r.store.rank < trees {
 			r.planTree(f)
 		}
 	}
-	r.broadcast(m)
+	if bytes*len(r.members.linked) > directBytes {
+		r.planBatch(small)
+		small = nil
+	}
+	if facts := append(small, offers...); len(facts) > 0 {
+		r.broadcast(&wire.StoreFacts{Facts: facts})
+	}
 	r.startTrees()
 }
 
+// planBatch schedules the tree of many small facts. The second watcher collects them until its tree
+// starts; later ones leave it to those two and to repairs.
+func (r *Router) planBatch(facts []wire.StoreFact) {
+	if r.store.rank >= trees {
+		return
+	}
+	if len(r.relays.batch) == 0 {
+		r.relays.batchAt = r.now + time.Duration(r.store.rank)*treeDelay
+	}
+	r.relays.batch = append(r.relays.batch, facts...)
+}
+
+// startBatch starts the tree of the collected facts, in parts of a bounded size.
+func (r *Router) startBatch() {
+	if len(r.relays.batch) == 0 || r.now < r.relays.batchAt {
+		return
+	}
+	facts := r.relays.batch
+	r.relays.batch = nil
+	for len(facts) > 0 {
+		n := min(len(facts), batchFacts)
+		r.spread(r.batch(facts[:n]), r.shuffledPeers())
+		facts = facts[n:]
+	}
+}
+
+// batch returns a message with facts packed together.
+func (r *Router) batch(facts []wire.StoreFact) wire.StoreFacts {
+	packed, err := wire.PackFacts(facts)
+	if err != nil {
+		r.emit(Note{Kind: "fact_not_packed", Fields: []any{"facts", len(facts), "error", err.Error()}})
+		return wire.StoreFacts{Facts: facts}
+	}
+	return wire.StoreFacts{Batch: packed}
+}
+
+func (r *Router) shuffledPeers() []fleet.InstanceID {
+	to := r.linkedPeers()
+	r.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	return to
+}
+
 // planTree schedules the tree of a value in place of that of an older one.
 func (r *Router) planTree(f replica.Fact) {
 	at := r.now + time.Duration(r.store.rank)*treeDelay
@@ -103,26 +167,28 @@
 // startTrees starts the trees that are due. Their order differs, so that an instance that can't
 // be reached does not hide the same others from each of them.
 func (r *Router) startTrees() {
+	r.startBatch()
 	for key, t := range r.relays.trees {
 		if r.now < t.at {
 			continue
 		}
 		delete(r.relays.trees, key)
 		r.relays.started[key] = r.now
-		to := r.linkedPeers()
-		r.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-		r.spread([]wire.StoreFact{t.fact}, to)
+		r.spread(wire.StoreFacts{Facts: []wire.StoreFact{t.fact}}, r.shuffledPeers())
 	}
 }
 
 // spread passes facts on to instances along a tree.
-func (r *Router) spread(facts []wire.StoreFact, to []fleet.InstanceID) {
+func (r *Router) spread(m wire.StoreFacts, to []fleet.InstanceID) {
 	reachable := slices.DeleteFunc(slices.Clone(to), func(id fleet.InstanceID) bool { return r.members.linked[id] == nil })
 	branches := min(fanout, len(reachable))
+	if len(reachable) <= directPeers {
+		branches = len(reachable)
+	}
 	for branch := range branches {
 		first := branch * len(reachable) / branches
 		end := (branch + 1) * len(reachable) / branches
-		r.emit(SendMessage{To: reachable[first], Message: &wire.StoreFacts{Facts: facts, Relay: reachable[first+1 : end]}})
+		r.emit(SendMessage{To: reachable[first], Message: &wire.StoreFacts{Facts: m.Facts, Batch: m.Batch, Relay: reachable[first+1 : end]}})
 	}
 }
 
@@ -149,10 +215,18 @@
 // factsReceived merges what a peer tells, and passes it on along its tree.
 func (r *Router) factsReceived(from fleet.InstanceID, m *wire.StoreFacts) {
 	if len(m.Relay) > 0 {
-		r.spread(m.Facts, m.Relay)
+		r.spread(*m, m.Relay)
+	}
+	told := m.Facts
+	if len(m.Batch) > 0 {
+		batch, err := wire.UnpackFacts(m.Batch)
+		if err != nil {
+			r.emit(Note{Kind: "fact_rejected", Fields: []any{"peer", from, "error", err.Error()}})
+		}
+		told = append(told, batch...)
 	}
 	var facts []replica.Fact
-	for _, w := range m.Facts {
+	for _, w := range told {
 		switch {
 		case !w.Deleted && !r.lacks(w):
 		case w.Withheld:
@@ -207,6 +281,12 @@
 			reply.Facts = append(reply.Facts, r.pack(f))
 		}
 	}
+	for len(reply.Facts) > packFacts {
+		n := min(len(reply.Facts), batchFacts)
+		part := r.batch(reply.Facts[:n])
+		r.emit(SendMessage{To: from, Message: &part})
+		reply.Facts = reply.Facts[n:]
+	}
 	if len(reply.Facts) > 0 {
 		r.emit(SendMessage{To: from, Message: reply})
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -340,6 +340,8 @@
 	Facts []StoreFact `cbor:"1,keyasint"`
 	// Relay lists the instances that the receiver passes the facts on to.
 	Relay []fleet.InstanceID `cbor:"2,keyasint,omitempty"`
+	// Batch holds further facts together in packed form; see PackFacts.
+	Batch []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // StoreFact is a key of the store as of a revision.
--- a/internal/wire/pack.go
+++ b/internal/wire/pack.go
@@ -5,6 +5,8 @@
 	"compress/flate"
 	"fmt"
 	"io"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // maxUnpackedBytes bounds what Unpack returns: the largest value of the platform's store.
@@ -26,6 +28,28 @@
 	return packed.Bytes(), nil
 }
 
+// PackFacts encodes and compresses facts together. Registrations shrink to about a tenth.
+func PackFacts(facts []StoreFact) ([]byte, error) {
+	data, err := cbor.Marshal(facts)
+	if err != nil {
+		return nil, fmt.Errorf("wire: pack facts: %w", err)
+	}
+	return Pack(data)
+}
+
+// UnpackFacts reverses PackFacts. It returns ErrFrame for anything else.
+func UnpackFacts(batch []byte) ([]StoreFact, error) {
+	data, err := Unpack(batch)
+	if err != nil {
+		return nil, err
+	}
+	var facts []StoreFact
+	if err := decMode.Unmarshal(data, &facts); err != nil {
+		return nil, fmt.Errorf("%w: facts: %v", ErrFrame, err)
+	}
+	return facts, nil
+}
+
 // Unpack reverses Pack. It returns ErrFrame for anything else, and for values over a megabyte.
 func Unpack(packed []byte) ([]byte, error) {
 	r := flate.NewReader(bytes.NewReader(packed))
