--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -17,10 +17,6 @@
 	// directBytes is the size of small facts, summed over all peers, up to which a watcher sends them
 	// to each peer by itself. Beyond, a weak link of 1.25 MB/s would delay what follows by over 50 ms.
 	directBytes = 64 << 10
-	// batchFacts bounds the facts of one packed message: about 150 KB before packing.
-	batchFacts = 500
-	// packFacts is the number of facts from which the answer to a request for repair is packed.
-	packFacts = 20
 	// fanout is the number of instances to which each node of the tree passes a large value on.
 	// With four, 82 instances are reached in four steps.
 	fanout = 4
@@ -95,7 +91,7 @@
 			bytes += len(f.Key) + len(f.Value)
 			continue
 		}
-		offers = append(offers, wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true})
+		offers = append(offers, offerOf(f))
 		if r.store.rank < trees {
 			r.planTree(f)
 		}
@@ -110,42 +106,6 @@
 	r.startTrees()
 }
 
-// planBatch schedules the tree of many small facts. The second watcher collects them until its tree
-// starts; later ones leave it to those two and to repairs.
-func (r *Router) planBatch(facts []wire.StoreFact) {
-	if r.store.rank >= trees {
-		return
-	}
-	if len(r.relays.batch) == 0 {
-		r.relays.batchAt = r.now + time.Duration(r.store.rank)*treeDelay
-	}
-	r.relays.batch = append(r.relays.batch, facts...)
-}
-
-// startBatch starts the tree of the collected facts, in parts of a bounded size.
-func (r *Router) startBatch() {
-	if len(r.relays.batch) == 0 || r.now < r.relays.batchAt {
-		return
-	}
-	facts := r.relays.batch
-	r.relays.batch = nil
-	for len(facts) > 0 {
-		n := min(len(facts), batchFacts)
-		r.spread(r.batch(facts[:n]), r.shuffledPeers())
-		facts = facts[n:]
-	}
-}
-
-// batch returns a message with facts packed together.
-func (r *Router) batch(facts []wire.StoreFact) wire.StoreFacts {
-	packed, err := wire.PackFacts(facts)
-	if err != nil {
-		r.emit(Note{Kind: "fact_not_packed", Fields: []any{"facts", len(facts), "error", err.Error()}})
-		return wire.StoreFacts{Facts: facts}
-	}
-	return wire.StoreFacts{Batch: packed}
-}
-
 func (r *Router) shuffledPeers() []fleet.InstanceID {
 	to := r.linkedPeers()
 	r.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
@@ -196,6 +156,11 @@
 	return wire.StoreFact{Key: f.Key, Revision: f.Revision, Deleted: f.Deleted, Value: f.Value}
 }
 
+// offerOf tells of a large value without it.
+func offerOf(f replica.Fact) wire.StoreFact {
+	return wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true}
+}
+
 // pack returns a fact with its value compressed.
 func (r *Router) pack(f replica.Fact) wire.StoreFact {
 	if known, ok := r.relays.packed[f.Key]; ok && known.Revision == f.Revision {
@@ -266,30 +231,22 @@
 
 // factsRequested answers a peer.
 func (r *Router) factsRequested(from fleet.InstanceID, m *wire.FactsRequest) {
-	reply := &wire.StoreFacts{}
+	var facts []wire.StoreFact
 	if len(m.Buckets) > 0 {
 		for _, f := range r.facts.Differing(m.Buckets) {
-			w := wireFact(f)
 			if len(f.Value) >= largeBytes {
-				w = wire.StoreFact{Key: f.Key, Revision: f.Revision, Withheld: true}
+				facts = append(facts, offerOf(f))
+			} else {
+				facts = append(facts, wireFact(f))
 			}
-			reply.Facts = append(reply.Facts, w)
 		}
 	}
 	for _, key := range m.Keys {
 		if f, ok := r.facts.Get(key); ok {
-			reply.Facts = append(reply.Facts, r.pack(f))
+			facts = append(facts, r.pack(f))
 		}
 	}
-	for len(reply.Facts) > packFacts {
-		n := min(len(reply.Facts), batchFacts)
-		part := r.batch(reply.Facts[:n])
-		r.emit(SendMessage{To: from, Message: &part})
-		reply.Facts = reply.Facts[n:]
-	}
-	if len(reply.Facts) > 0 {
-		r.emit(SendMessage{To: from, Message: reply})
-	}
+	r.sendFacts(from, facts)
 }
 
 // tickRelay asks for large values that did not arrive on their tree.
