--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,8 +1,9 @@
-// Package platform defines what the fleet needs from the platform: a small key-value
-// service with compare-and-swap, leases and watches, and a list of instances.
+// Package platform defines what the fleet needs from the platform: one key-value service, the
+// Keyspace. Records gives it compare-and-swap, watches, leases with fencing numbers and a list of
+// instances, and Presence keeps an instance in that list.
 //
-// The fleet stores everything that must last in Store. Implementations must be safe for
-// concurrent use.
+// The fleet stores everything that must last there. Implementations must be safe for concurrent
+// use.
 package platform
 
 import (
