--- a/cmd/bilberryctl/main.go
+++ b/cmd/bilberryctl/main.go
@@ -13,7 +13,7 @@
 )
 
 // connectStore returns a client of the store.
-func connectStore(addr string) keyspace.Keyspace { return platform.NewStore(addr, nil) }
+func connectStore(addr string) keyspace.Keyspace { return platform.Connect(addr, nil) }
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/cmd/bilberrywelld/main.go
+++ b/cmd/bilberrywelld/main.go
@@ -12,7 +12,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bilberrywell/bilberrywell/internal/daemon"
-	keyspace "github.com/bilberrywell/bilberrywell/internal/platform"
 	"github.com/bilberrywell/bilberrywell/internal/settings"
 	"github.com/bilberrywell/bilberrywell/platform"
 )
@@ -57,17 +56,12 @@
 	return serve(s)
 }
 
-// connectStore returns a client of the store.
-func connectStore(addr string, dial daemon.DialFunc) keyspace.Keyspace {
-	return platform.NewStore(addr, dial)
-}
-
 // serve runs the daemon until SIGTERM or SIGINT. A second signal ends it at once.
 func serve(s settings.Settings) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	d, err := daemon.New(s, version, connectStore)
+	d, err := daemon.New(s, version, platform.Connect)
 	if err == nil {
 		err = d.Run(ctx)
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -51,7 +51,6 @@
 func countedDial(set *metrics.Set, kind string) DialFunc {
 	sent := set.NewCounter(`bilberry_control_bytes_total{direction="sent",kind="` + kind + `"}`)
 	received := set.NewCounter(`bilberry_control_bytes_total{direction="received",kind="` + kind + `"}`)
-	dial := newTransport().DialContext
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -48,10 +48,14 @@
 	return &upstreams{pools: make(map[fleet.EngineID]*http.Transport), fresh: fresh}
 }
 
+// dial opens a connection within dialTimeout.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+}
+
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnsPerEngine,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -75,11 +75,6 @@
 	once     sync.Once
 }
 
-// ConnectStore returns a client of the store for daemons.
-func ConnectStore(addr string, dial daemon.DialFunc) platform.Keyspace {
-	return userplatform.NewStore(addr, dial)
-}
-
 // Start starts a fleet and publishes a configuration for it.
 func Start(t testing.TB, o Options) *Fleet {
 	store, err := standin.ServeStore("127.0.0.1:0")
@@ -156,7 +151,7 @@
 
 // StartNode starts a node's daemon.
 func (f *Fleet) StartNode(n *Node) {
-	d, err := daemon.New(n.Settings, "test", ConnectStore)
+	d, err := daemon.New(n.Settings, "test", userplatform.Connect)
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.Daemon, n.stop, n.done = d, cancel, make(chan struct{})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 	engines  *upstream.Pool
 	peers    *peer.Manager
 	events   chan router.Event
-	watch    watchSwitch
+	watch    *watchSwitch
 	metrics  *gatewayMetrics
 	table    atomic.Pointer[routing.Table]
 	ready    atomic.Bool
@@ -99,6 +99,7 @@
 		engines:     upstream.NewPool(nil),
 		events:      make(chan router.Event, eventQueue),
 		metrics:     newMetrics(),
+		watch:       newWatchSwitch(),
 		drained:     make(chan struct{}),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
 	"gopkg.in/yaml.v3"
 
 	"github.com/bilberrywell/bilberrywell/config"
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/settingsfile"
 	"github.com/bilberrywell/bilberrywell/internal/yamlfile"
 )
 
@@ -64,42 +64,22 @@
 
 // LoadSettings reads and checks a settings file. All findings are reported at once.
 func LoadSettings(path string) (Settings, config.Findings) {
-	l := &settingsLoader{file: path, settings: DefaultSettings()}
-	l.Report = func(n *yaml.Node, message string) { l.report(n.Line, n.Column, message) }
-	data, err := os.ReadFile(path)
-	if err != nil {
-		l.report(1, 1, "cannot be read: "+err.Error())
-		return l.settings, l.findings
+	l := &settingsLoader{File: settingsfile.New(path), settings: DefaultSettings()}
+	if root := l.Read(); root != nil {
+		l.check(root)
 	}
-	l.read(data)
-	l.findings.Sort()
-	return l.settings, l.findings
+	return l.settings, l.Findings()
 }
 
 type settingsLoader struct {
-	yamlfile.Reader
-	file     string
+	*settingsfile.File
 	settings Settings
-	findings config.Findings
 }
 
-func (l *settingsLoader) report(line, column int, message string) {
-	l.findings = append(l.findings, config.Finding{File: l.file, Line: max(1, line), Column: max(1, column), Message: message})
-}
-
-func (l *settingsLoader) read(data []byte) {
-	root, syntax := yamlfile.Parse(data)
-	if syntax != nil {
-		l.report(syntax.Line, 1, syntax.Message)
-		return
-	}
-	if root == nil {
-		l.report(1, 1, "the file is empty")
-		return
-	}
+func (l *settingsLoader) check(root *yaml.Node) {
 	l.Mapping(root, "the settings file", l.fields(), "instance", "data_centre", "caller_addr", "ready_addr", "peer_addr", "store_addr")
 	if l.settings.DrainWait >= l.settings.StopGrace {
-		l.report(1, 1, fmt.Sprintf("drain_wait %s must be below stop_grace %s", l.settings.DrainWait, l.settings.StopGrace))
+		l.ReportFile(fmt.Sprintf("drain_wait %s must be below stop_grace %s", l.settings.DrainWait, l.settings.StopGrace))
 	}
 }
 
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -25,7 +25,7 @@
 	storeBackoffMax  = 500 * time.Millisecond
 )
 
-// watchSwitch turns the reading of changes on and off.
+// watchSwitch turns the reading of changes on and off. It is made by newWatchSwitch.
 type watchSwitch struct {
 	mu     sync.Mutex
 	on     bool
@@ -34,6 +34,8 @@
 	wake   chan struct{}
 }
 
+func newWatchSwitch() *watchSwitch { return &watchSwitch{wake: make(chan struct{}, 1)} }
+
 func (s *watchSwitch) set(on bool, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -41,9 +43,6 @@
 	if !on && s.cancel != nil {
 		s.cancel()
 	}
-	if s.wake == nil {
-		s.wake = make(chan struct{}, 1)
-	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -61,20 +60,16 @@
 func (s *watchSwitch) await(ctx context.Context) (context.Context, bool) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		if s.wake == nil {
-			s.wake = make(chan struct{}, 1)
-		}
 		if s.on {
 			child, cancel := context.WithCancel(ctx)
 			s.cancel = cancel
 			s.mu.Unlock()
 			return child, true
 		}
-		wake := s.wake
 		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
-		case <-wake:
+		case <-s.wake:
 		}
 	}
 	return nil, false
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -88,13 +88,6 @@
 	return s.core.total
 }
 
-// SetRate changes the bound in lines per second.
-func (s *Sink) SetRate(lines int) {
-	s.core.mu.Lock()
-	defer s.core.mu.Unlock()
-	s.core.rate = float64(lines)
-}
-
 // Init implements logr.LogSink.
 func (s *Sink) Init(logr.RuntimeInfo) {}
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -13,6 +13,7 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/bilberrywell/bilberrywell/config"
+	"github.com/bilberrywell/bilberrywell/internal/settingsfile"
 	"github.com/bilberrywell/bilberrywell/internal/yamlfile"
 )
 
@@ -21,45 +22,26 @@
 
 // Load reads and checks a settings file. File names in it are relative to its directory.
 func Load(path string) (Settings, config.Findings) {
-	l := &loader{file: path, dir: filepath.Dir(path), settings: Defaults(), nodes: map[string]*yaml.Node{}}
-	l.Report = func(n *yaml.Node, message string) { l.report(n.Line, n.Column, message) }
-	data, err := os.ReadFile(path)
-	if err != nil {
-		l.report(1, 1, "cannot be read: "+err.Error())
-		return l.settings, l.findings
+	l := &loader{File: settingsfile.New(path), dir: filepath.Dir(path), settings: Defaults(), nodes: map[string]*yaml.Node{}}
+	if root := l.Read(); root != nil {
+		l.check(root)
 	}
-	l.read(data)
-	l.findings.Sort()
-	return l.settings, l.findings
+	return l.settings, l.Findings()
 }
 
 type loader struct {
-	yamlfile.Reader
-	file, dir string
-	settings  Settings
-	findings  config.Findings
+	*settingsfile.File
+	dir      string
+	settings Settings
 	// nodes holds the value of each field that is present.
 	nodes map[string]*yaml.Node
 }
 
-func (l *loader) report(line, column int, message string) {
-	l.findings = append(l.findings, config.Finding{File: l.file, Line: max(1, line), Column: max(1, column), Message: message})
-}
-
 func (l *loader) reportf(n *yaml.Node, format string, args ...any) {
 	l.Report(n, fmt.Sprintf(format, args...))
 }
 
-func (l *loader) read(data []byte) {
-	root, syntax := yamlfile.Parse(data)
-	if syntax != nil {
-		l.report(syntax.Line, 1, syntax.Message)
-		return
-	}
-	if root == nil {
-		l.report(1, 1, "the file is empty")
-		return
-	}
+func (l *loader) check(root *yaml.Node) {
 	l.Mapping(root, "the settings file", l.fields(), "instance", "data_centre", "region",
 		"caller_addr", "peer_addr", "admin_addr", "store_addr", "fleet_secret_file")
 	l.advertised()
