placement: a full pool queues each prompt in its own order

Cause: once every engine had all slots taken, a request with a prompt went to the least loaded engine by loads that are up to 2 s old at 82 links. All instances chose the same engine until its load was told.

Change: a request waits at the first engine of its prompt's order that is under the load bound, as it does while slots are free.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -231,8 +231,10 @@
 func (p *Pool) Choose(now time.Duration, w Want) (Choice, bool) {
 	mean := p.mean(now)
 	if w.Key != 0 {
-		if c, ok := p.chooseWarm(now, w, mean); ok {
-			return c, true
+		for _, queue := range []bool{false, true} {
+			if c, ok := p.chooseWarm(now, w, mean, queue); ok {
+				return c, true
+			}
 		}
 	}
 	if c, ok := p.chooseLeast(now, w, mean); ok {
@@ -265,13 +267,15 @@
 	return !m.Draining && m.health.admits(now, w.Proven) && !slices.Contains(w.Exclude, m.ID)
 }
 
-// chooseWarm walks the key's rendezvous order.
-func (p *Pool) chooseWarm(now time.Duration, w Want, mean float64) (Choice, bool) {
+// chooseWarm walks the key's rendezvous order. Engines without a free slot are left out unless queue
+// is set. Once all are full a request waits at the first one under the bound: were it sent to the
+// least loaded engine instead, all instances would choose the same one until its load is told.
+func (p *Pool) chooseWarm(now time.Duration, w Want, mean float64, queue bool) (Choice, bool) {
 	p.choices = p.ranking.Top(w.Key, len(p.order), p.choices)
 	bound := p.bound(mean)
 	for i, c := range p.choices {
 		m := p.order[c.Index]
-		if !p.usable(now, m, w) || p.load(now, m) >= bound || p.full(now, m) {
+		if !p.usable(now, m, w) || p.load(now, m) >= bound || !queue && p.full(now, m) {
 			continue
 		}
 		reason := Warm
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -42,6 +42,35 @@
 	// Output: true warm
 }
 
+// Guards against a surge in which every engine is full and all instances send their requests to the
+// one that was told to be least loaded: in a surge of ten times the usual traffic on 82 instances, 12%
+// of the requests reached engines over twice the mean.
+func TestFullPoolQueuesInOrderOfEachPrompt(t *testing.T) {
+	const engineCount, slots = 10, 64
+	p := pool(engineCount)
+	others := map[fleet.EngineID]int{}
+	for i := range engineCount {
+		others[fleet.EngineID(fmt.Sprintf("e%d", i))] = slots + 8
+	}
+	others["e0"] = slots
+	p.SetOthers(others)
+
+	chosen := map[fleet.EngineID]int{}
+	for key := range uint64(300) {
+		c := choose(t, p, 0, placement.Want{Key: key + 1})
+		first := choose(t, pool(engineCount), 0, placement.Want{Key: key + 1})
+		require.Equal(t, first.Engine.ID, c.Engine.ID, "the prompt's own engine is under the bound")
+		chosen[c.Engine.ID]++
+	}
+	require.Len(t, chosen, engineCount)
+
+	others["e3"] = 2 * slots
+	p.SetOthers(others)
+	for key := range uint64(300) {
+		require.NotEqual(t, fleet.EngineID("e3"), choose(t, p, 0, placement.Want{Key: key + 1}).Engine.ID, "over the bound")
+	}
+}
+
 // Guards against two instances that send one conversation to different engines.
 func TestInstancesAgreeOnWarmEngines(t *testing.T) {
 	a, b := pool(9), pool(9)
