router: tell peers which engines read prompts away from their first engine

Cause: an instance knew only where its own requests were read.

Change: standings name the prompts that were read at another engine than the first of their order, at most 64 in each.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -15,6 +15,9 @@
 	r.loadReported(c, ev.Load)
 	if pool := r.pools[c.service]; pool != nil && c.route.Affinity {
 		pool.engines.Answered(r.now, c.engine, uint64(c.Prompt))
+		if c.reason != placement.Warm {
+			r.members.tellPrompt(uint64(c.Prompt), c.engine)
+		}
 	}
 }
 
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -31,6 +31,8 @@
 	standingLife = 3
 	// dialPatience is how long an instance waits for a peer that should dial it.
 	dialPatience = 2 * time.Second
+	// maxPrompts bounds the prompts in a standing: 1.5 KB, as much as the counts of 100 engines.
+	maxPrompts = 64
 )
 
 // memberState is what the instance knows of the others.
@@ -48,6 +50,8 @@
 	sent uint64
 	// toldAt is when a peer that reads the store last knew no more and no less than this instance.
 	toldAt time.Duration
+	// prompts lists what the next standing tells of prompts that were read away from their engine.
+	prompts []wire.PromptAt
 }
 
 type peerState struct {
@@ -61,6 +65,13 @@
 	m.known = make(map[fleet.InstanceID]time.Duration)
 }
 
+// tellPrompt notes that an engine has read a prompt that peers expect at another one.
+func (m *memberState) tellPrompt(prompt uint64, engine fleet.EngineID) {
+	if prompt != 0 && len(m.linked) > 0 && len(m.prompts) < maxPrompts {
+		m.prompts = append(m.prompts, wire.PromptAt{Prompt: prompt, Engine: engine})
+	}
+}
+
 // live reports whether a peer was heard of lately.
 func (p *peerState) live(now time.Duration) bool {
 	interval := standingInterval
@@ -112,6 +123,7 @@
 	p.last = m
 	p.heard = r.now
 	r.shareLoads()
+	r.promptsTold(m.Prompts)
 	if !m.StoreLost {
 		// Removals that peers tell are real while one of them reads the store.
 		r.registry.StoreBack(r.now)
@@ -119,6 +131,16 @@
 	r.compare(from, m)
 }
 
+// promptsTold notes where peers' requests were read, so that the cache can be fetched from there.
+func (r *Router) promptsTold(prompts []wire.PromptAt) {
+	for _, told := range prompts {
+		engine, _ := r.registry.Get(told.Engine)
+		if pool := r.pools[engine.Service]; pool != nil {
+			pool.engines.Answered(r.now, told.Engine, told.Prompt)
+		}
+	}
+}
+
 // shareLoads gives the pools what other instances run.
 func (r *Router) shareLoads() {
 	counts := make(map[fleet.EngineID]int)
@@ -262,6 +284,8 @@
 		r.emit(SendMessage{To: to, Message: m})
 		return
 	}
+	m.Prompts = r.members.prompts
+	r.members.prompts = nil
 	r.members.sent = r.standingHash()
 	r.members.next = r.now + r.longestInterval()
 	r.members.earliest = r.now + max(busyInterval, r.linksInterval())
@@ -297,6 +321,9 @@
 	if r.drain.active {
 		h ^= 2
 	}
+	if len(r.members.prompts) > 0 {
+		h ^= 4
+	}
 	return h
 }
 
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -295,6 +295,52 @@
 	require.Equal(t, first, chat())
 }
 
+// Guards against prompts that are read again because only the instance that sent them to another
+// engine knows where their cache is.
+func TestPeersKnowWhereAPromptWasRead(t *testing.T) {
+	a, b := newSession(t, 9), newSession(t, 9)
+	for _, s := range []*session{a, b} {
+		s.link(1)
+	}
+	arrive := func(s *session, id CallID) Send {
+		s.step(CallArrived{Call: Call{ID: id, Host: "h", Path: "/chat/x", Prompt: 1, Arrived: s.now}})
+		return must[Send](s)
+	}
+	home := arrive(b, 60).Engine.ID
+	b.step(AttemptEnded{Call: 60, Outcome: Completed})
+
+	a.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.Standing{Sequence: 9, Newest: a.r.facts.Newest(), Digest: a.r.facts.Digest(),
+		Running: []wire.EngineCount{{Engine: home, Count: 8}}}})
+	away := arrive(a, 61).Engine
+	require.NotEqual(t, home, away.ID)
+	a.step(AttemptAnswered{Call: 61})
+	a.after(busyInterval)
+	a.step(Tick{})
+	told := a.sent(wire.KindStanding)[0].Message.(*wire.Standing)
+	require.Equal(t, []wire.PromptAt{{Prompt: 1, Engine: away.ID}}, told.Prompts)
+	a.after(standingInterval)
+	a.step(Tick{})
+	require.Empty(t, a.sent(wire.KindStanding)[0].Message.(*wire.Standing).Prompts, "told once")
+
+	told.Sequence, told.Running = 9, nil
+	b.step(PeerMessage{From: "i2", Incarnation: 1, Message: told})
+	next := arrive(b, 62)
+	require.Equal(t, home, next.Engine.ID)
+	require.Equal(t, away.Addr, next.FetchFrom)
+}
+
+// Guards against a surge in which every request is told of: standings have room for some.
+func TestPromptsInAStandingAreBounded(t *testing.T) {
+	s := newSession(t, 9)
+	s.r.members.tellPrompt(1, "e1")
+	require.Empty(t, s.r.members.prompts, "nobody to tell")
+	s.link(1)
+	for i := range 2 * maxPrompts {
+		s.r.members.tellPrompt(uint64(i), "e1")
+	}
+	require.Len(t, s.r.members.prompts, maxPrompts)
+}
+
 // Guards against an instance that lost the store, left the reading to others, and suspends the
 // removals that they tell for ever.
 func TestRemovalsCountAgainWhenPeersReadTheStore(t *testing.T) {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -326,6 +326,16 @@
 	Running []EngineCount `cbor:"6,keyasint,omitempty"`
 	// IntervalMs is the sender's longest time between standings.
 	IntervalMs uint32 `cbor:"7,keyasint,omitempty"`
+	// Prompts lists prompts that engines other than the first of their order have read since the
+	// sender's last standing.
+	Prompts []PromptAt `cbor:"8,keyasint,omitempty"`
+}
+
+// PromptAt tells that an engine has read the shared part of a prompt.
+type PromptAt struct {
+	_      struct{} `cbor:",toarray"`
+	Prompt uint64
+	Engine fleet.EngineID
 }
 
 // EngineCount is the number of requests of one instance at an engine.
