router: loads travel in two hops between 25 instances or more

Cause: standings carried loads to every instance, 40 messages a second from 40 links on, so that loads were up to 2 s old with 82 instances and would be 12 s old with 490.

Change: the live instances form rows of about the square root of their number. Each tells its row what it runs and its column what its row runs, every 0.45 s with 82. Standings say only who is alive and what it has read. Engines are named by 32-bit tags.

The first sites have 7 instances: standings carry their loads as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,13 @@
 // AttemptID identifies one attempt to run a request on one engine. It is unique in the fleet.
 type AttemptID string
 
+// EngineTag is a short hash of an engine's ID for messages that name many engines. Two of 1,600 engines
+// share a tag in one fleet of 3,000, and then count each other's load.
+type EngineTag uint32
+
+// TagOf returns the tag of an engine.
+func TagOf(id EngineID) EngineTag { return EngineTag(Hash("engine", string(id))) }
+
 // ChatKey is the hash of a customer and a conversation id.
 type ChatKey uint64
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,6 +200,8 @@
 		g.metrics.attemptDone(e)
 	case router.SendMessage:
 		g.peers.Send(e.To, e.Message)
+	case router.SendToMany:
+		g.peers.SendTo(e.To, e.Message)
 	case router.SetPeers:
 		g.setPeers(e)
 	case router.ConfigInForce:
--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -29,7 +29,7 @@
 	case wire.KindConfigRequest, wire.KindConfigManifest, wire.KindBlobRequest, wire.KindBlob,
 		wire.KindEngineState, wire.KindStoreFacts, wire.KindFactsRequest:
 		return classConfiguration
-	case wire.KindHeartbeat, wire.KindHello, wire.KindStanding:
+	case wire.KindHeartbeat, wire.KindHello, wire.KindStanding, wire.KindLoads:
 		return classHeartbeat
 	}
 	return classTimeline
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -183,14 +183,22 @@
 
 // SendAll queues a message for every instance with an open link and returns the number of
 // links that took it. The message is encoded once.
-func (m *Manager) SendAll(message wire.Message) int {
+func (m *Manager) SendAll(message wire.Message) int { return m.SendTo(m.Up(), message) }
+
+// SendTo queues a message for several instances and returns the number of links that took it. The
+// message is encoded once.
+func (m *Manager) SendTo(to []fleet.InstanceID, message wire.Message) int {
 	p, ok := m.encode(message)
 	if !ok {
 		return 0
 	}
 	count := 0
-	for _, id := range m.Up() {
-		if l := m.linkOf(id); l != nil && m.sendOn(l, p) {
+	for _, id := range to {
+		l := m.linkOf(id)
+		switch {
+		case l == nil:
+			m.counters.drops[classOf(p.kind)].Inc()
+		case m.sendOn(l, p):
 			count++
 		}
 	}
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -166,6 +166,9 @@
 	if c.route.Affinity {
 		want.Key = uint64(c.Prompt)
 	}
+	if r.loads.stale {
+		r.shareLoads()
+	}
 	choice, ok := pool.engines.Choose(r.now, want)
 	if !ok {
 		r.giveUp(c, "no_engine")
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -112,6 +112,12 @@
 	Pause time.Duration
 }
 
+// SendToMany sends one message to several instances. It is encoded once.
+type SendToMany struct {
+	To      []fleet.InstanceID
+	Message wire.Message
+}
+
 // SendMessage sends a message to an instance.
 type SendMessage struct {
 	To      fleet.InstanceID
@@ -182,6 +188,7 @@
 func (SetReady) effect()      {}
 func (WatchStore) effect()    {}
 func (SendMessage) effect()   {}
+func (SendToMany) effect()    {}
 func (SetPeers) effect()      {}
 func (StopAccepting) effect() {}
 func (Drained) effect()       {}
--- /dev/null
+++ b/internal/router/loads_test.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+)
+
+// Guards against fleets of some size in which an instance is never told the load of a row, or is
+// told it by two members of the row, which costs twice the messages.
+func TestEveryInstanceIsToldEachRowOnce(t *testing.T) {
+	var all []fleet.InstanceID
+	for n := 1; n <= 495; n++ {
+		all = append(all, fleet.InstanceID(fmt.Sprintf("i%03d", n)))
+		if n > 130 && n%45 != 0 {
+			continue
+		}
+		if n < gridFrom {
+			require.Len(t, newGrid(all[0], all[1:]).rowPeers(), n-1)
+			continue
+		}
+		told := map[fleet.InstanceID]map[int]int{}
+		for i, id := range all {
+			others := append(append([]fleet.InstanceID{}, all[:i]...), all[i+1:]...)
+			g := newGrid(id, others)
+			require.Contains(t, g.row(g.ownRow()), id)
+			require.NotContains(t, g.rowPeers(), id)
+			require.LessOrEqual(t, len(g.rowPeers()), g.side)
+			for _, to := range g.sumTargets() {
+				if told[to] == nil {
+					told[to] = map[int]int{}
+				}
+				told[to][g.ownRow()]++
+			}
+		}
+		g := newGrid(all[0], all[1:])
+		for i, id := range all {
+			require.Len(t, told[id], g.rows()-1, "of %d instances", n)
+			require.NotContains(t, told[id], i/g.side, "its own row")
+			for row, times := range told[id] {
+				require.Equal(t, 1, times, "row %d of %d instances", row, n)
+			}
+		}
+	}
+}
+
+// gridFleet holds reducers whose messages arrive at once.
+type gridFleet struct {
+	t       *testing.T
+	members map[fleet.InstanceID]*session
+	// messages counts those that carried loads.
+	messages int
+}
+
+func newGridFleet(t *testing.T, n int) *gridFleet {
+	f := &gridFleet{t: t, members: map[fleet.InstanceID]*session{}}
+	for i := range n {
+		s := newSession(t, 4)
+		id := fleet.InstanceID(fmt.Sprintf("i%03d", i))
+		s.r.cfg.Instance = id
+		f.members[id] = s
+	}
+	for id := range f.members {
+		for other := range f.members {
+			if other != id {
+				f.step(id, PeerUp{Instance: other, Incarnation: 1})
+			}
+		}
+	}
+	return f
+}
+
+func (f *gridFleet) step(id fleet.InstanceID, ev Event) {
+	s := f.members[id]
+	for _, e := range s.step(ev) {
+		m, ok := e.(SendMessage)
+		if !ok || f.members[m.To] == nil {
+			continue
+		}
+		switch m.Message.(type) {
+		case *wire.Loads:
+			f.messages++
+			f.members[m.To].step(PeerMessage{From: id, Incarnation: 1, Message: m.Message})
+		case *wire.Standing:
+			f.members[m.To].step(PeerMessage{From: id, Incarnation: 1, Message: m.Message})
+		}
+	}
+}
+
+func (f *gridFleet) pass(d time.Duration) {
+	for range d / (50 * time.Millisecond) {
+		for _, s := range f.members {
+			s.after(50 * time.Millisecond)
+		}
+		for id := range f.members {
+			f.step(id, Tick{})
+		}
+	}
+}
+
+func (f *gridFleet) kill(id fleet.InstanceID) {
+	delete(f.members, id)
+	for other := range f.members {
+		f.step(other, PeerDown{Instance: id, Incarnation: 1})
+	}
+}
+
+// requireExact checks that each instance knows the load of all others.
+func (f *gridFleet) requireExact() {
+	total := map[fleet.EngineTag]int{}
+	for _, s := range f.members {
+		addCounts(total, s.r.running())
+	}
+	for id, s := range f.members {
+		s.r.shareLoads()
+		known := map[fleet.EngineTag]int{}
+		addCounts(known, s.r.running())
+		s.r.addRowPeers(known)
+		g := s.r.loads.grid
+		for i := range g.rows() {
+			if i != g.ownRow() {
+				s.r.addRow(known, g.row(i))
+			}
+		}
+		require.Equal(f.t, total, known, "at %s", id)
+	}
+}
+
+// Guards against load that is lost or counted twice on its way over two hops, also after instances
+// have failed.
+func TestLoadOfALargeFleetIsKnownEverywhere(t *testing.T) {
+	f := newGridFleet(t, 40)
+	i := 0
+	for id := range f.members {
+		for range i % 3 {
+			f.step(id, CallArrived{Call: Call{ID: CallID(1000 + i), Host: "h", Path: "/plan/x", Prompt: fleet.ChatKey(i + 1), Arrived: f.members[id].now}})
+			i++
+		}
+		i++
+	}
+	f.pass(2 * time.Second)
+	f.requireExact()
+	for _, id := range []fleet.InstanceID{"i000", "i007", "i039"} {
+		f.kill(id)
+	}
+	f.pass(2 * time.Second)
+	f.requireExact()
+}
+
+// Guards against messages that grow with the square of the fleet.
+func TestLoadsGoToFewInstances(t *testing.T) {
+	f := newGridFleet(t, 40)
+	f.pass(2 * time.Second)
+	f.messages = 0
+	f.pass(4 * time.Second)
+	side := 7
+	rounds := int(4*time.Second/(time.Duration(2*side)*linkInterval)) + 1
+	require.LessOrEqual(t, f.messages, 40*2*side*rounds)
+	require.Positive(t, f.messages)
+}
+
+// Guards against the sum of a row that counts although the member that told it was silent for long.
+func TestOldSumsDoNotCount(t *testing.T) {
+	f := newGridFleet(t, 30)
+	f.pass(time.Second)
+	s := f.members["i000"]
+	s.after(time.Millisecond)
+	s.step(PeerMessage{From: "i029", Incarnation: 1, Message: &wire.Loads{Row: true, Running: []wire.EngineCount{{Engine: fleet.TagOf("e0"), Count: 50}}}})
+	known := func() int {
+		counts := map[fleet.EngineTag]int{}
+		s.r.addRow(counts, s.r.loads.grid.row(s.r.loads.grid.rows()-1))
+		return counts[fleet.TagOf("e0")]
+	}
+	require.Equal(t, 50, known())
+	s.after(sumLife * s.r.gridInterval())
+	s.step(Tick{})
+	require.Zero(t, known())
+}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -58,6 +59,8 @@
 	incarnation uint64
 	last        *wire.Standing
 	heard       time.Duration
+	// own is what the peer runs, row what its row of the grid runs.
+	own, row toldLoad
 }
 
 func (m *memberState) init() {
@@ -73,17 +76,21 @@
 }
 
 // live reports whether a peer was heard of lately.
-func (p *peerState) live(now time.Duration) bool {
+func (p *peerState) live(now time.Duration) bool { return now-p.heard < p.life() }
+
+// life is how long what a peer told of itself counts.
+func (p *peerState) life() time.Duration {
 	interval := standingInterval
 	if p.last != nil {
 		interval = max(interval, time.Duration(p.last.IntervalMs)*time.Millisecond)
 	}
-	return now-p.heard < standingLife*interval
+	return standingLife * interval
 }
 
 func (r *Router) peerUp(ev PeerUp) {
 	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, heard: r.now}
 	r.emit(Note{Kind: "peer_up", Fields: []any{"peer", ev.Instance}})
+	r.arrange()
 	r.sendStanding(ev.Instance)
 	r.shareBudgets()
 }
@@ -95,7 +102,7 @@
 	}
 	delete(r.members.linked, ev.Instance)
 	r.emit(Note{Kind: "peer_down", Fields: []any{"peer", ev.Instance}})
-	r.shareLoads()
+	r.arrange()
 	r.electWatchers()
 }
 
@@ -107,6 +114,8 @@
 	switch m := ev.Message.(type) {
 	case *wire.Standing:
 		r.standingReceived(ev.From, p, m)
+	case *wire.Loads:
+		r.loadsReceived(p, m)
 	case *wire.StoreFacts:
 		r.factsReceived(ev.From, m)
 	case *wire.FactsRequest:
@@ -122,7 +131,10 @@
 	}
 	p.last = m
 	p.heard = r.now
-	r.shareLoads()
+	if !m.InGrid {
+		p.own = toldLoad{counts: m.Running, at: r.now}
+		r.loads.stale = true
+	}
 	r.promptsTold(m.Prompts)
 	if !m.StoreLost {
 		// Removals that peers tell are real while one of them reads the store.
@@ -141,22 +153,6 @@
 	}
 }
 
-// shareLoads gives the pools what other instances run.
-func (r *Router) shareLoads() {
-	counts := make(map[fleet.EngineID]int)
-	for _, p := range r.members.linked {
-		if p.last == nil || !p.live(r.now) {
-			continue
-		}
-		for _, c := range p.last.Running {
-			counts[c.Engine] += c.Count
-		}
-	}
-	for _, pool := range r.pools {
-		pool.engines.SetOthers(counts)
-	}
-}
-
 func (r *Router) anyPeerReads() bool {
 	for _, p := range r.members.linked {
 		if p.last != nil && p.live(r.now) && !p.last.StoreLost {
@@ -277,9 +273,12 @@
 		Digest:     r.facts.Digest(),
 		StoreLost:  r.store.lost,
 		Draining:   r.drain.active,
-		Running:    r.running(),
+		InGrid:     r.inGrid(),
 		IntervalMs: uint32(r.longestInterval().Milliseconds()),
 	}
+	if !m.InGrid {
+		m.Running = r.running()
+	}
 	if to != "" {
 		r.emit(SendMessage{To: to, Message: m})
 		return
@@ -299,21 +298,13 @@
 	return time.Duration(len(r.members.linked)) * linkInterval
 }
 
-func (r *Router) running() []wire.EngineCount {
-	var counts []wire.EngineCount
-	for _, pool := range r.pools {
-		pool.engines.OwnCounts(func(id fleet.EngineID, n int) {
-			counts = append(counts, wire.EngineCount{Engine: id, Count: n})
-		})
-	}
-	return counts
-}
-
 // standingHash identifies what a standing would say, without its sequence.
 func (r *Router) standingHash() uint64 {
 	h := r.facts.Digest() ^ r.facts.Newest()
-	for _, pool := range r.pools {
-		pool.engines.OwnCounts(func(id fleet.EngineID, n int) { h ^= fleet.Hash(string(id), string(rune(n))) })
+	if !r.inGrid() {
+		for _, c := range r.running() {
+			h ^= fleet.Hash("running", strconv.Itoa(int(c.Engine)), strconv.Itoa(c.Count))
+		}
 	}
 	if r.store.lost {
 		h ^= 1
@@ -328,9 +319,7 @@
 }
 
 func (r *Router) broadcast(m wire.Message) {
-	for _, id := range r.linkedPeers() {
-		r.emit(SendMessage{To: id, Message: m})
-	}
+	r.emit(SendToMany{To: r.linkedPeers(), Message: m})
 }
 
 // linkedPeers returns the instances with an open link in order of ID.
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -287,7 +287,7 @@
 	}
 	first := chat()
 	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.Standing{Sequence: 9, Newest: s.r.facts.Newest(), Digest: s.r.facts.Digest(),
-		Running: []wire.EngineCount{{Engine: first, Count: 30}}}})
+		Running: []wire.EngineCount{{Engine: fleet.TagOf(first), Count: 30}}}})
 	for range 5 {
 		require.NotEqual(t, first, chat())
 	}
@@ -310,7 +310,7 @@
 	b.step(AttemptEnded{Call: 60, Outcome: Completed})
 
 	a.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.Standing{Sequence: 9, Newest: a.r.facts.Newest(), Digest: a.r.facts.Digest(),
-		Running: []wire.EngineCount{{Engine: home, Count: 8}}}})
+		Running: []wire.EngineCount{{Engine: fleet.TagOf(home), Count: 8}}}})
 	away := arrive(a, 61).Engine
 	require.NotEqual(t, home, away.ID)
 	a.step(AttemptAnswered{Call: 61})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,6 +82,7 @@
 	early   []*call
 	poison  poisonState
 	members memberState
+	loads   loadState
 	store   storeState
 	relays  relayState
 	drain   drainState
@@ -109,6 +110,7 @@
 	r.poison.init()
 	r.members.init()
 	r.relays.init()
+	r.arrange()
 	return r
 }
 
@@ -159,6 +161,7 @@
 func (r *Router) tick() {
 	r.tickStore()
 	r.tickMembers()
+	r.tickLoads()
 	r.tickRelay()
 	r.tickEarly()
 	r.poison.tracker.Tick(r.now)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -72,7 +72,17 @@
 }
 
 func (s *session) step(ev Event) []Effect {
-	s.out = append([]Effect{}, s.r.Step(s.now, ev)...)
+	s.out = nil
+	for _, e := range s.r.Step(s.now, ev) {
+		many, ok := e.(SendToMany)
+		if !ok {
+			s.out = append(s.out, e)
+			continue
+		}
+		for _, to := range many.To {
+			s.out = append(s.out, SendMessage{To: to, Message: many.Message})
+		}
+	}
 	return s.out
 }
 
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -72,6 +72,9 @@
 // Kind implements Message.
 func (*FactsRequest) Kind() Kind { return KindFactsRequest }
 
+// Kind implements Message.
+func (*Loads) Kind() Kind { return KindLoads }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -123,6 +126,8 @@
 		return &StoreFacts{}
 	case KindFactsRequest:
 		return &FactsRequest{}
+	case KindLoads:
+		return &Loads{}
 	}
 	return nil
 }
@@ -178,6 +183,8 @@
 		return "store_facts"
 	case KindFactsRequest:
 		return "facts_request"
+	case KindLoads:
+		return "loads"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -36,6 +36,7 @@
 	KindStanding       Kind = 24
 	KindStoreFacts     Kind = 25
 	KindFactsRequest   Kind = 26
+	KindLoads          Kind = 27
 )
 
 // Hello is the first message on a link, in both directions.
@@ -322,13 +323,21 @@
 	// StoreLost tells that the sender can't read the store.
 	StoreLost bool `cbor:"4,keyasint,omitempty"`
 	Draining  bool `cbor:"5,keyasint,omitempty"`
-	// Running lists the engines on which the sender runs requests.
+	// Running lists the engines on which the sender runs requests, unless InGrid is set.
 	Running []EngineCount `cbor:"6,keyasint,omitempty"`
 	// IntervalMs is the sender's longest time between standings.
 	IntervalMs uint32 `cbor:"7,keyasint,omitempty"`
 	// Prompts lists prompts that engines other than the first of their order have read since the
 	// sender's last standing.
 	Prompts []PromptAt `cbor:"8,keyasint,omitempty"`
+	// InGrid tells that Loads messages carry what the sender runs.
+	InGrid bool `cbor:"9,keyasint,omitempty"`
+}
+
+// Loads tells what the sender runs or, if Row is set, what its row of the grid runs, itself included.
+type Loads struct {
+	Row     bool          `cbor:"1,keyasint,omitempty"`
+	Running []EngineCount `cbor:"2,keyasint,omitempty"`
 }
 
 // PromptAt tells that an engine has read the shared part of a prompt.
@@ -338,10 +347,10 @@
 	Engine fleet.EngineID
 }
 
-// EngineCount is the number of requests of one instance at an engine.
+// EngineCount is the number of requests of one or several instances at an engine.
 type EngineCount struct {
 	_      struct{} `cbor:",toarray"`
-	Engine fleet.EngineID
+	Engine fleet.EngineTag
 	Count  int
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -129,6 +129,7 @@
 // member is an engine with what is known of it.
 type member struct {
 	Engine
+	tag    fleet.EngineTag
 	joined time.Duration
 	// founding tells that the engine joined before the pool's first request: it holds as much
 	// cache as any other.
@@ -154,7 +155,7 @@
 	for _, e := range engines {
 		m := p.members[e.ID]
 		if m == nil {
-			m = &member{joined: now, founding: !p.used}
+			m = &member{tag: fleet.TagOf(e.ID), joined: now, founding: !p.used}
 		}
 		m.Engine = e
 		members[e.ID] = m
@@ -200,17 +201,17 @@
 }
 
 // SetOthers sets the requests that other instances run, by engine. Engines left out have none.
-func (p *Pool) SetOthers(counts map[fleet.EngineID]int) {
+func (p *Pool) SetOthers(counts map[fleet.EngineTag]int) {
 	for _, m := range p.order {
-		m.others = counts[m.ID]
+		m.others = counts[m.tag]
 	}
 }
 
 // OwnCounts calls each with the engines on which this instance runs requests.
-func (p *Pool) OwnCounts(each func(id fleet.EngineID, count int)) {
+func (p *Pool) OwnCounts(each func(tag fleet.EngineTag, count int)) {
 	for _, m := range p.order {
 		if m.own > 0 {
-			each(m.ID, m.own)
+			each(m.tag, m.own)
 		}
 	}
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -27,6 +27,15 @@
 	return list
 }
 
+// told returns counts as other instances tell them.
+func told(counts map[fleet.EngineID]int) map[fleet.EngineTag]int {
+	tagged := make(map[fleet.EngineTag]int, len(counts))
+	for id, n := range counts {
+		tagged[fleet.TagOf(id)] = n
+	}
+	return tagged
+}
+
 func choose(t *testing.T, p *placement.Pool, now time.Duration, w placement.Want) placement.Choice {
 	c, ok := p.Choose(now, w)
 	require.True(t, ok)
@@ -73,7 +82,7 @@
 		others[fleet.EngineID(fmt.Sprintf("e%d", i))] = slots + 8
 	}
 	others["e0"] = slots
-	p.SetOthers(others)
+	p.SetOthers(told(others))
 
 	chosen := map[fleet.EngineID]int{}
 	for key := range uint64(300) {
@@ -85,7 +94,7 @@
 	require.Len(t, chosen, engineCount)
 
 	others["e3"] = 2 * slots
-	p.SetOthers(others)
+	p.SetOthers(told(others))
 	for key := range uint64(300) {
 		require.NotEqual(t, fleet.EngineID("e3"), choose(t, p, 0, placement.Want{Key: key + 1}).Engine.ID, "over the bound")
 	}
@@ -125,7 +134,7 @@
 func TestLoadOfOthersCountsForTheBound(t *testing.T) {
 	p := pool(4)
 	first := choose(t, p, 0, placement.Want{Key: 7}).Engine.ID
-	p.SetOthers(map[fleet.EngineID]int{first: 10})
+	p.SetOthers(told(map[fleet.EngineID]int{first: 10}))
 	require.NotEqual(t, first, choose(t, p, 0, placement.Want{Key: 7}).Engine.ID)
 	p.SetOthers(nil)
 	require.Equal(t, first, choose(t, p, 0, placement.Want{Key: 7}).Engine.ID)
@@ -137,7 +146,7 @@
 // Guards against instances that all send short requests to the engine that was idle a second ago.
 func TestStaleLoadOfOthersDoesNotAttractShortRequests(t *testing.T) {
 	p := pool(4)
-	p.SetOthers(map[fleet.EngineID]int{"e0": 5, "e1": 5, "e2": 5})
+	p.SetOthers(told(map[fleet.EngineID]int{"e0": 5, "e1": 5, "e2": 5}))
 	counts := map[fleet.EngineID]int{}
 	for range 400 {
 		counts[choose(t, p, 0, placement.Want{DataCentre: "none"}).Engine.ID]++
