replica: a value that is written again with the same meaning is no news

Cause: every engine writes its registration about every 1.2 s with a new count.

Change: replicas compare what values mean, as the platform's format decodes them. A rewritten value raises the held revision and is neither applied nor relayed; digests cover meanings, so that copies agree although their revisions differ. An engine that was expelled because its address answered for another one used to come back with its next heartbeat; it is now taken back after 4 s if it is still registered. Standings are no longer sent early because a revision rose.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -300,7 +300,7 @@
 
 // standingHash identifies what a standing would say, without its sequence.
 func (r *Router) standingHash() uint64 {
-	h := r.facts.Digest() ^ r.facts.Newest()
+	h := r.facts.Digest()
 	if !r.inGrid() {
 		for _, c := range r.running() {
 			h ^= fleet.Hash("running", strconv.Itoa(int(c.Engine)), strconv.Itoa(c.Count))
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -295,6 +295,16 @@
 	require.Equal(t, first, chat())
 }
 
+// Guards against heartbeats of engines that travel to every instance.
+func TestHeartbeatsAreNotRelayed(t *testing.T) {
+	s := newSession(t, 3)
+	s.link(2)
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "engines/e1", Revision: 200, Value: []byte("ready")}}, At: 200})
+	require.Empty(t, s.sent(wire.KindStoreFacts))
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "engines/e1", Revision: 201, Value: []byte("draining")}}, At: 201})
+	require.Len(t, s.sent(wire.KindStoreFacts), 2)
+}
+
 // Guards against prompts that are read again because only the instance that sent them to another
 // engine knows where their cache is.
 func TestPeersKnowWhereAPromptWasRead(t *testing.T) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,9 +84,11 @@
 	members memberState
 	loads   loadState
 	store   storeState
-	relays  relayState
-	drain   drainState
-	ready   bool
+	// expelled holds when engines that were expelled may come back if they are still registered.
+	expelled map[fleet.EngineID]time.Duration
+	relays   relayState
+	drain    drainState
+	ready    bool
 }
 
 // servicePool is a service's engines with the budget for extra attempts at them.
@@ -101,12 +103,13 @@
 	r := &Router{
 		cfg:      cfg,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
-		facts:    replica.New(),
 		registry: registry.New(registry.Config{LapseGrace: cfg.LapseGrace}),
 		pools:    make(map[fleet.ServiceID]*servicePool),
 		routes:   make(map[string]*routeStats),
 		calls:    make(map[CallID]*call),
+		expelled: make(map[fleet.EngineID]time.Duration),
 	}
+	r.facts = replica.New(r.meaning)
 	r.poison.init()
 	r.members.init()
 	r.relays.init()
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -242,6 +242,25 @@
 	}
 }
 
+// Guards against an engine that stays away for ever because its address once answered for another
+// one, and against one that comes back although its registration is gone.
+func TestExpelledEngineComesBackWhileItIsRegistered(t *testing.T) {
+	s := newSession(t, 2)
+	for range 2 {
+		s.call("/get/x")
+		s.end(Misdirected)
+	}
+	require.Zero(t, s.r.registry.Len())
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "engines/e1", Revision: 300, Deleted: true}}, At: 300})
+	s.after(expelledFor - time.Millisecond)
+	s.step(Tick{})
+	require.Zero(t, s.r.registry.Len())
+	s.after(time.Millisecond)
+	s.step(Tick{})
+	require.Equal(t, 1, s.r.registry.Len())
+	require.Equal(t, fleet.EngineID("e0"), s.call("/get/x").Engine.ID)
+}
+
 // Guards against new work for an engine that is draining, gone, or whose entry can't be read.
 func TestLeavingEngines(t *testing.T) {
 	for _, f := range []replica.Fact{
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -73,6 +74,18 @@
 	return err.Error()
 }
 
+// meaning returns the hash of what a value says. Engines write their registration again and again
+// with a new count, which is no news: at 3,000 engines it would be 2,500 changes a second.
+func (r *Router) meaning(key string, value []byte) uint64 {
+	if _, registrations := r.cfg.Format.Prefixes(); strings.HasPrefix(key, registrations) {
+		if e, err := r.cfg.Format.Engine(key, value); err == nil {
+			return fleet.Hash(string(e.Service), e.Addr, string(e.DataCentre), strconv.Itoa(e.Slots),
+				strconv.FormatBool(e.Draining), strconv.FormatInt(e.Born, 10))
+		}
+	}
+	return fleet.Hash(string(value))
+}
+
 // learn applies facts that are new to this instance.
 func (r *Router) learn(fresh []replica.Fact) {
 	configKey, registrations := r.cfg.Format.Prefixes()
@@ -158,16 +171,39 @@
 	r.emit(EngineGone{Addr: addr})
 }
 
+// expelledFor is how long an engine whose address belongs to another one stays away although it is
+// registered. The registration of an engine that is gone is removed after three heartbeats of 1.2 s.
+const expelledFor = 4 * time.Second
+
 // expel drops an engine whose address belongs to another one.
 func (r *Router) expel(id fleet.EngineID) {
 	engine, _ := r.registry.Get(id)
 	if r.registry.Expel(id) {
+		r.expelled[id] = r.now + expelledFor
 		r.emit(Note{Kind: "engine_removed", Fields: []any{"engine", id, "reason", "address taken"}})
 		r.forgetEngine(engine.Addr, id)
 		r.rebuildPools()
 	}
 }
 
+// readmit takes expelled engines back that are still registered.
+func (r *Router) readmit() {
+	_, prefix := r.cfg.Format.Prefixes()
+	changed := false
+	for id, at := range r.expelled {
+		if r.now < at {
+			continue
+		}
+		delete(r.expelled, id)
+		if f, ok := r.facts.Get(prefix + string(id)); ok {
+			changed = r.registrationFact(f) || changed
+		}
+	}
+	if changed {
+		r.rebuildPools()
+	}
+}
+
 func (r *Router) engineUnreachable(id fleet.EngineID) {
 	engine, ok := r.registry.Get(id)
 	if !ok {
@@ -242,6 +278,7 @@
 
 // tickStore drops engines whose registrations did not come back.
 func (r *Router) tickStore() {
+	r.readmit()
 	gone := r.registry.Tick(r.now)
 	for _, id := range gone {
 		r.emit(Note{Kind: "engine_removed", Fields: []any{"engine", id, "reason", "lapsed"}})
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -3,6 +3,8 @@
 // Every fact carries the store's revision of its last change. Facts are merged by revision, so
 // they may arrive in any order, more than once, from the store or from other instances, and all
 // copies converge. A deleted key leaves a tombstone, so that an older fact can't bring it back.
+// A value that is written again with the same meaning is no news: copies may then hold different
+// revisions of a key, and still agree.
 package replica
 
 import (
@@ -32,7 +34,8 @@
 
 // Replica is a copy of keys. It is not safe for concurrent use.
 type Replica struct {
-	facts map[string]Fact
+	facts   map[string]held
+	meaning func(key string, value []byte) uint64
 	// buckets holds, for each bucket of keys, the exclusive or of the hashes of its facts that are
 	// not deleted.
 	buckets [Buckets]uint64
@@ -41,16 +44,26 @@
 	tombstones []string
 }
 
-// New returns an empty replica.
-func New() *Replica {
-	return &Replica{facts: make(map[string]Fact)}
+// held is a fact with the hash of its key and of what its value means.
+type held struct {
+	Fact
+	hash uint64
+}
+
+// New returns an empty replica. Values of a key for which meaning returns the same hash are alike; if
+// meaning is nil, these are equal values.
+func New(meaning func(key string, value []byte) uint64) *Replica {
+	if meaning == nil {
+		meaning = func(_ string, value []byte) uint64 { return xxhash.Sum64(value) }
+	}
+	return &Replica{facts: make(map[string]held), meaning: meaning}
 }
 
 // Newest returns the highest revision of a fact that was merged.
 func (r *Replica) Newest() uint64 { return r.newest }
 
-// Digest returns a hash of all present keys with their revisions. Replicas with equal digests
-// hold equal facts.
+// Digest returns a hash of all present keys with the meaning of their values. Replicas with equal
+// digests agree.
 func (r *Replica) Digest() uint64 {
 	digest := uint64(0)
 	for _, d := range r.buckets {
@@ -59,7 +72,7 @@
 	return digest
 }
 
-// BucketDigests returns a hash of each bucket's present keys with their revisions.
+// BucketDigests returns a hash of each bucket's present keys with the meaning of their values.
 func (r *Replica) BucketDigests() []uint64 { return append([]uint64{}, r.buckets[:]...) }
 
 // Differing returns the facts of the buckets whose digests differ from those of another replica,
@@ -68,7 +81,7 @@
 	var facts []Fact
 	for _, f := range r.facts {
 		if b := bucket(f.Key); len(digests) != Buckets || digests[b] != r.buckets[b] {
-			facts = append(facts, f)
+			facts = append(facts, f.Fact)
 		}
 	}
 	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Key, b.Key) })
@@ -78,11 +91,11 @@
 // Get returns a key's fact. It is false for a key that is unknown or deleted.
 func (r *Replica) Get(key string) (Fact, bool) {
 	f, ok := r.facts[key]
-	return f, ok && !f.Deleted
+	return f.Fact, ok && !f.Deleted
 }
 
-// Merge takes facts that are newer than those held, and returns these in order of revision. Of
-// several facts about one key only the newest is returned.
+// Merge takes facts that are newer than those held, and returns those with another meaning in order
+// of revision. Of several facts about one key only the newest is returned.
 func (r *Replica) Merge(facts []Fact) []Fact {
 	var fresh []Fact
 	for _, f := range facts {
@@ -90,7 +103,12 @@
 			fresh = append(fresh, f)
 		}
 	}
-	fresh = slices.DeleteFunc(fresh, func(f Fact) bool { return r.facts[f.Key].Revision != f.Revision })
+	latest := make(map[string]int, len(fresh))
+	for i, f := range fresh {
+		latest[f.Key] = i
+	}
+	i := -1
+	fresh = slices.DeleteFunc(fresh, func(f Fact) bool { i++; return latest[f.Key] != i })
 	slices.SortStableFunc(fresh, func(a, b Fact) int { return cmp.Compare(a.Revision, b.Revision) })
 	return fresh
 }
@@ -103,8 +121,8 @@
 		listed[f.Key] = true
 	}
 	var gone []Fact
-	for key, held := range r.facts {
-		if !held.Deleted && held.Revision <= at && strings.HasPrefix(key, prefix) && !listed[key] {
+	for key, known := range r.facts {
+		if !known.Deleted && known.Revision <= at && strings.HasPrefix(key, prefix) && !listed[key] {
 			gone = append(gone, Fact{Key: key, Revision: at, Deleted: true})
 		}
 	}
@@ -117,18 +135,19 @@
 	all := make([]Fact, 0, len(r.facts))
 	for _, f := range r.facts {
 		if !f.Deleted {
-			all = append(all, f)
+			all = append(all, f.Fact)
 		}
 	}
 	slices.SortFunc(all, func(a, b Fact) int { return cmp.Compare(a.Key, b.Key) })
 	return all
 }
 
+// put stores a fact that is newer than the one held. It reports whether its meaning differs.
 func (r *Replica) put(f Fact) bool {
-	held, known := r.facts[f.Key]
+	old, known := r.facts[f.Key]
 	// A deletion inferred from a list carries the list's revision, which may equal that of the
 	// key's last write.
-	if known && (f.Revision < held.Revision || f.Revision == held.Revision && (held.Deleted || !f.Deleted)) {
+	if known && (f.Revision < old.Revision || f.Revision == old.Revision && (old.Deleted || !f.Deleted)) {
 		return false
 	}
 	r.newest = max(r.newest, f.Revision)
@@ -136,22 +155,30 @@
 		r.bury(f)
 		return false
 	}
-	if known && !held.Deleted {
-		r.buckets[bucket(f.Key)] ^= hash(held)
-	}
+	present := known && !old.Deleted
 	if f.Deleted {
+		if present {
+			r.buckets[bucket(f.Key)] ^= old.hash
+		}
 		r.bury(f)
-		return true
+		return present
+	}
+	hash := hash(f.Key, r.meaning(f.Key, f.Value))
+	r.facts[f.Key] = held{Fact: f, hash: hash}
+	if present && hash == old.hash {
+		return false
+	}
+	if present {
+		r.buckets[bucket(f.Key)] ^= old.hash
 	}
-	r.facts[f.Key] = f
-	r.buckets[bucket(f.Key)] ^= hash(f)
+	r.buckets[bucket(f.Key)] ^= hash
 	return true
 }
 
 // bury stores a tombstone and drops the oldest one when there are too many.
 func (r *Replica) bury(f Fact) {
 	f.Value = nil
-	r.facts[f.Key] = f
+	r.facts[f.Key] = held{Fact: f}
 	r.tombstones = append(r.tombstones, f.Key)
 	for len(r.tombstones) > maxTombstones {
 		if oldest := r.tombstones[0]; r.facts[oldest].Deleted {
@@ -163,12 +190,12 @@
 
 func bucket(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
 
-func hash(f Fact) uint64 {
+func hash(key string, meaning uint64) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	var revision [8]byte
-	binary.LittleEndian.PutUint64(revision[:], f.Revision)
-	_, _ = d.Write(revision[:])
-	_, _ = d.WriteString(f.Key)
+	var bytes [8]byte
+	binary.LittleEndian.PutUint64(bytes[:], meaning)
+	_, _ = d.Write(bytes[:])
+	_, _ = d.WriteString(key)
 	return d.Sum64()
 }
