--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -202,6 +202,26 @@
 	}
 }
 
+// Guards against a message to several instances that counts those without a link as reached, or that
+// stops at the first of them.
+func TestSendToSkipsInstancesWithoutALink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork()
+		a, b := start(nw, "a", 1), start(nw, "b", 2)
+		defer a.stop()
+		defer b.stop()
+		a.SetTargets(target("b"))
+		b.SetTargets(target("a"))
+		beat(20, a, b)
+		a.events()
+		b.events()
+		require.Equal(t, 1, a.SendTo([]fleet.InstanceID{"c", "b"}, &wire.Release{}))
+		beat(1, a, b)
+		require.Contains(t, b.events(), "release-a-1")
+		require.Zero(t, a.SendTo([]fleet.InstanceID{"c"}, &wire.Release{}))
+	})
+}
+
 // Guards against a restarted peer that is kept out by the link of its former incarnation,
 // and against a late link of that incarnation.
 func TestNewIncarnationReplacesLink(t *testing.T) {
