affinity, placement, replica, router: one piece of code where there were two

No change of behaviour: - affinity.Rank and the sorted part of Pool.Top had the same order written twice; Rank calls the latter. TestTopIsPrefixOfRank now checks the ranking against the scores themselves too, since both sides share code for large k. - router: the loop over a row's members stood twice, once over a copy of the row without this instance, which has no peer state and so counts for nothing anyway. - replica.Merge keeps the newest fact of a key in one pass instead of two with a counter in a closure. - placement: the part of an order that has been computed says how much to compute next.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -7,7 +7,6 @@
 
 import (
 	"math"
-	"sort"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 )
@@ -49,17 +48,9 @@
 // Rank returns the indexes of candidates in descending order of score for key.
 func Rank(key uint64, candidates []Candidate) []int {
 	order := make([]int, len(candidates))
-	scores := make([]float64, len(candidates))
-	for i, c := range candidates {
-		order[i] = i
-		scores[i] = Score(key, Seed(c.ID), c.Weight)
+	for i, c := range NewPool(candidates).sorted(key, nil) {
+		order[i] = c.Index
 	}
-	sort.SliceStable(order, func(a, b int) bool {
-		if scores[order[a]] != scores[order[b]] {
-			return scores[order[a]] > scores[order[b]]
-		}
-		return candidates[order[a]].ID < candidates[order[b]].ID
-	})
 	return order
 }
 
--- a/affinity/home_test.go
+++ b/affinity/home_test.go
@@ -48,6 +48,12 @@
 		}
 		key, k := rapid.Uint64().Draw(t, "key"), rapid.OneOf(rapid.IntRange(0, 9), rapid.IntRange(0, 220)).Draw(t, "k")
 		want := affinity.Rank(key, pool)
+		require.Len(t, want, len(pool))
+		for i := 1; i < len(want); i++ {
+			above, below := pool[want[i-1]], pool[want[i]]
+			high, low := affinity.Score(key, affinity.Seed(above.ID), above.Weight), affinity.Score(key, affinity.Seed(below.ID), below.Weight)
+			require.True(t, high > low || high == low && above.ID < below.ID)
+		}
 		got := affinity.NewPool(pool).Top(key, k, nil)
 		require.Len(t, got, min(k, len(pool)))
 		for i, choice := range got {
--- a/affinity/pool.go
+++ b/affinity/pool.go
@@ -66,11 +66,14 @@
 	for i, seed := range p.seeds {
 		dst = append(dst, Choice{i, Score(key, seed, p.candidates[i].Weight)})
 	}
-	slices.SortFunc(dst, func(a, b Choice) int {
-		if p.before(a, b) {
+	slices.SortStableFunc(dst, func(a, b Choice) int {
+		switch {
+		case p.before(a, b):
 			return -1
+		case p.before(b, a):
+			return 1
 		}
-		return 1
+		return 0
 	})
 	return dst
 }
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -140,7 +140,7 @@
 func (r *Router) rowSum() []wire.EngineCount {
 	counts := make(map[fleet.EngineTag]int)
 	addCounts(counts, r.running())
-	r.addRowPeers(counts)
+	r.addMembers(counts, r.loads.grid.row(r.loads.grid.ownRow()))
 	sum := make([]wire.EngineCount, 0, len(counts))
 	for tag, n := range counts {
 		sum = append(sum, wire.EngineCount{Engine: tag, Count: n})
@@ -153,7 +153,7 @@
 func (r *Router) shareLoads() {
 	r.loads.stale = false
 	counts := make(map[fleet.EngineTag]int)
-	r.addRowPeers(counts)
+	r.addMembers(counts, r.loads.grid.row(r.loads.grid.ownRow()))
 	for i := range r.loads.grid.rows() {
 		if i != r.loads.grid.ownRow() {
 			r.addRow(counts, r.loads.grid.row(i))
@@ -164,12 +164,6 @@
 	}
 }
 
-func (r *Router) addRowPeers(counts map[fleet.EngineTag]int) {
-	for _, id := range r.loads.grid.rowPeers() {
-		r.addPeer(counts, id)
-	}
-}
-
 // addRow adds the load of another row: its sum, as told by the member that did so last, or what its
 // members told of themselves.
 func (r *Router) addRow(counts map[fleet.EngineTag]int, row []fleet.InstanceID) {
@@ -183,19 +177,16 @@
 		addCounts(counts, latest.counts)
 		return
 	}
-	for _, id := range row {
-		r.addPeer(counts, id)
-	}
+	r.addMembers(counts, row)
 }
 
-// addPeer adds what a peer last told of itself.
-func (r *Router) addPeer(counts map[fleet.EngineTag]int, id fleet.InstanceID) {
-	p := r.members.linked[id]
-	if p == nil || !p.live(r.now) {
-		return
-	}
-	if p.own.fresh(r.now, max(sumLife*r.gridInterval(), p.life())) {
-		addCounts(counts, p.own.counts)
+// addMembers adds what the peers in a row last told of themselves.
+func (r *Router) addMembers(counts map[fleet.EngineTag]int, row []fleet.InstanceID) {
+	for _, id := range row {
+		p := r.members.linked[id]
+		if p != nil && p.live(r.now) && p.own.fresh(r.now, max(sumLife*r.gridInterval(), p.life())) {
+			addCounts(counts, p.own.counts)
+		}
 	}
 }
 
--- a/internal/router/loads_test.go
+++ b/internal/router/loads_test.go
@@ -120,8 +120,8 @@
 		s.r.shareLoads()
 		known := map[fleet.EngineTag]int{}
 		addCounts(known, s.r.running())
-		s.r.addRowPeers(known)
 		g := s.r.loads.grid
+		s.r.addMembers(known, g.row(g.ownRow()))
 		for i := range g.rows() {
 			if i != g.ownRow() {
 				s.r.addRow(known, g.row(i))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -295,10 +295,8 @@
 
 // ranked returns the engine at a place in the order of the key for which choices were begun.
 func (p *Pool) ranked(key uint64, place int) *member {
-	for k := firstRanked; place >= len(p.choices); k *= firstRanked {
-		if k > len(p.choices) {
-			p.choices = p.ranking.Top(key, k, p.choices)
-		}
+	for place >= len(p.choices) {
+		p.choices = p.ranking.Top(key, firstRanked*max(1, len(p.choices)), p.choices)
 	}
 	return p.order[p.choices[place].Index]
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -98,17 +98,18 @@
 // of revision. Of several facts about one key only the newest is returned.
 func (r *Replica) Merge(facts []Fact) []Fact {
 	var fresh []Fact
+	places := make(map[string]int)
 	for _, f := range facts {
-		if r.put(f) {
-			fresh = append(fresh, f)
+		if !r.put(f) {
+			continue
 		}
+		if place, ok := places[f.Key]; ok {
+			fresh[place] = f
+			continue
+		}
+		places[f.Key] = len(fresh)
+		fresh = append(fresh, f)
 	}
-	latest := make(map[string]int, len(fresh))
-	for i, f := range fresh {
-		latest[f.Key] = i
-	}
-	i := -1
-	fresh = slices.DeleteFunc(fresh, func(f Fact) bool { i++; return latest[f.Key] != i })
 	slices.SortStableFunc(fresh, func(a, b Fact) int { return cmp.Compare(a.Revision, b.Revision) })
 	return fresh
 }
