internal/router, platform: log the suspects of an engine crash with their prompt parts

The logs named neither the hash nor the prompt parts of the requests that were running at an engine when it crashed, so a crash could not be traced to what the requests have in common. Each one now gets a crash_suspect line with its hash, the hashes of its shared prompt parts (16 at most) and the time for which the engine had been answering it.

No decision is changed.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -63,6 +63,7 @@
 		APIKey:        c.callHead.APIKey,
 		Prompt:        c.callHead.Prompt,
 		Fingerprint:   c.fingerprint(),
+		PromptParts:   c.callHead.PromptParts,
 		CallerTimeout: c.callHead.CallerTimeout,
 		Arrived:       arrived,
 	}})
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -29,6 +29,8 @@
 	CallerTimeout time.Duration
 	// Prompt is the hash of the part of the prompt that other requests share; 0 without one.
 	Prompt fleet.ChatKey
+	// PromptParts holds the hashes of the parts of the prompt that other requests may share, in order.
+	PromptParts []fleet.Fingerprint
 	// LastEvent is the id of the last event of a stream that the caller has received.
 	LastEvent string
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -149,7 +149,7 @@
 		r.engineFailed(c, pool, placement.Errored, stats)
 	case Broken:
 		r.engineFailed(c, pool, placement.ConnectionLost, stats)
-		r.addSuspect(c)
+		r.addSuspect(c, ev.FirstByte)
 	case Stalled:
 		r.engineFailed(c, pool, placement.NoAnswer, stats)
 	case TimedOut:
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -28,6 +28,8 @@
 	Prompt fleet.ChatKey
 	// Fingerprint is the hash of what an engine would run.
 	Fingerprint fleet.Fingerprint
+	// PromptParts holds the hashes of the parts of the prompt that other requests may share, in order.
+	PromptParts []fleet.Fingerprint
 	// CallerTimeout is how long the caller waits for a response; 0 if it did not say.
 	CallerTimeout time.Duration
 	// Arrived is when the header of the request had been read.
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
@@ -36,8 +38,12 @@
 }
 
 type suspectCall struct {
+	requestID   string
 	fingerprint fleet.Fingerprint
+	parts       []fleet.Fingerprint
 	brokeAt     time.Duration
+	// answeringFor is the time from the header of the response to the break; 0 without a response.
+	answeringFor time.Duration
 }
 
 func (p *poisonState) init() {
@@ -64,13 +70,17 @@
 }
 
 // addSuspect records a broken attempt and requests a check of whether its engine has crashed.
-func (r *Router) addSuspect(c *call) {
+func (r *Router) addSuspect(c *call, firstByte time.Duration) {
 	s := r.poison.suspects[c.engine]
 	if s == nil {
 		s = &engineSuspects{lastCheck: -checkInterval}
 		r.poison.suspects[c.engine] = s
 	}
-	s.calls = append(s.calls, suspectCall{c.Fingerprint, r.now})
+	suspect := suspectCall{requestID: c.RequestID, fingerprint: c.Fingerprint, parts: c.PromptParts, brokeAt: r.now}
+	if firstByte > 0 {
+		suspect.answeringFor = r.now - c.sentAt - firstByte
+	}
+	s.calls = append(s.calls, suspect)
 	engine, ok := r.registry.Get(c.engine)
 	if ok && r.now-s.lastCheck >= checkInterval {
 		s.lastCheck = r.now
@@ -94,7 +104,13 @@
 	delete(r.poison.suspects, id)
 	var fingerprints []fleet.Fingerprint
 	for _, call := range s.calls {
-		if r.now-call.brokeAt < suspectWindow && !r.recentlyAnswered(call.fingerprint) {
+		if r.now-call.brokeAt >= suspectWindow {
+			continue
+		}
+		answered := r.recentlyAnswered(call.fingerprint)
+		r.emit(Decision{Kind: "crash_suspect", RequestID: call.requestID, Fields: []any{"engine", id, "fingerprint", hexHash(call.fingerprint),
+			"parts", hexHashes(call.parts), "answering_ms", call.answeringFor.Milliseconds(), "answered", answered}})
+		if !answered {
 			fingerprints = append(fingerprints, call.fingerprint)
 		}
 	}
@@ -119,6 +135,21 @@
 	r.poison.tracker.Merge(r.now, strikes)
 }
 
+// hexHash returns a hash as it appears in logs.
+func hexHash(f fleet.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
+
+// maxLoggedParts bounds the prompt parts in one log line.
+const maxLoggedParts = 16
+
+// hexHashes returns hashes as they appear in logs, separated by spaces.
+func hexHashes(list []fleet.Fingerprint) string {
+	var texts []string
+	for _, f := range list[:min(len(list), maxLoggedParts)] {
+		texts = append(texts, hexHash(f))
+	}
+	return strings.Join(texts, " ")
+}
+
 // decayFactor returns the weight that remains after a time, given the half-life.
 func decayFactor(elapsed, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(elapsed) / float64(halfLife))
