internal/gateway: a stream without framing and without an event is broken off

Callers of a stream got an empty success when the engine had sent only the head of a response with neither a length nor chunks and its connection ended: the end of the connection ends such a response, so the break looked like its end. An empty stream is not an answer; the attempt now counts as broken, and a route that may be resumed goes to another engine.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,6 +15,7 @@
 var (
 	errTruncatedEvent = errors.New("the stream ended inside an event")
 	errLargeEvent     = errors.New("stream event exceeds 1 MiB")
+	errNoEvent        = errors.New("the connection ended before the first event")
 )
 
 // forwardStream forwards complete events as they arrive. The header is held back until the first event,
@@ -37,6 +38,10 @@
 		case err == io.EOF && len(pending) > 0:
 			a.fail(router.Broken, errTruncatedEvent)
 			return
+		case err == io.EOF && !a.headerWritten && a.exchange.EndsWithConnection():
+			// Without an event the end of the connection can't be told from a break.
+			a.fail(router.Broken, errNoEvent)
+			return
 		case err == io.EOF:
 			a.finishStream()
 			return
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -175,12 +175,17 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that the end of the
+// connection ends it.
+func (x *Exchange) EndsWithConnection() bool {
+	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+}
+
 // Finish ends an exchange. The connection is kept if the response was read to its end, the request was
 // written completely, and the engine keeps the connection open too. Finish does not wait for a request
 // that is still being written.
 func (x *Exchange) Finish() {
-	reusable := x.bodyRead && !x.Response.Close &&
-		(x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0)
+	reusable := x.bodyRead && !x.Response.Close && !x.EndsWithConnection()
 	// If the watch can no longer be stopped, the end of the context has closed the connection.
 	if !x.stopContextWatch() || !reusable {
 		x.conn.Close()
