crashcause, internal/router: requests are refused by the prompt part that crashes engines

Cause: the quarantine went by the hash of a whole request, and no two of these requests were alike; they had one prompt part in common. Evidence: crash_suspect lines of 21 crashes, one part in all, no hash in more than two. Class of fault: the unit of blame was finer than the cause. Another half of the cause was never needed before: a harmless part that all these requests share can only be told from the bad one by answers elsewhere, and answers were local knowledge.

Package crashcause replaces the tracker in gateways. Prompt parts and whole requests are traits. A trait is refused after three crashes with which no request was answered, five if one was answered before; an answer clears the crashes before it; a crash that a refused part explains counts against no other; engines that end together count as one crash, and an answer to a request sent after the crashes ends a refusal. Instances exchange suspects with their parts, answers to doubtful traits (one announcement for the fleet, by staggered delays) and quarantines. The instances that read the store write quarantines there under a lease, so a restart of all instances forgets none. A quarantine lasts 2 minutes; one more crash renews it, an answer ends it. Failures (5xx) no longer count as answers.

TestPromptPartThatCrashesEnginesIsRefused on the old code: 10 crashes of 10, expected 3; now 3.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -200,6 +200,7 @@
 
 // causeOf states in a sentence why a request ended.
 func (l *Logs) causeOf(lines []Line) string {
+	lines = stateLines(lines)
 	var end *Line
 	for i := range lines {
 		if m := lines[i].Message; m == "attempt_ended" || m == "call_refused" || m == "caller_left" || m == "failure_delivered" {
@@ -225,6 +226,16 @@
 	return refusalCause(*end, lines)
 }
 
+// stateLines leaves out the lines about the crash of an engine of the request: they may follow the next
+// attempt, whose state they don't change.
+func stateLines(lines []Line) []Line {
+	state := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return l.Message == "crash_suspect" })
+	if len(state) == 0 {
+		return lines
+	}
+	return state
+}
+
 // missingEndCause states what happened to the instance of a request whose end is not in the logs.
 func (l *Logs) missingEndCause(last Line) string {
 	prefix := fmt.Sprintf("the request was at engine %s when its instance %s ", last.stringField("engine"), last.Instance)
@@ -279,7 +290,7 @@
 	"no_configuration": "the instance had not read a configuration yet",
 	"no_route":         "no route of the configuration in force matches the host and path",
 	"unknown_key":      "no customer of the configuration in force holds the API key",
-	"quarantined":      "the request was in flight at three crashes of engines and is refused",
+	"quarantined":      "engines crashed while they ran this request, or others with a part of its prompt, and it is refused",
 	"no_engine":        "no engine that was not tried already could take the request",
 	"retry_budget":     "an engine did not run the request and the budget for further attempts was used up",
 	"engine_lost":      "the engine was lost while it had the request, which may not run twice",
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -31,9 +31,11 @@
 		"answered": {logLine(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"completed","ms":12`), "answered in full by engine e1, after 12 ms"},
 		"failed":   {logLine(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"completed","failed":true,"ms":12`), "failed it"},
 		"left":     {logLine(2, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"caller_left","ms":12`), "the caller left while"},
-		"cut off":  {"", "was at engine e1 when its instance a was lost, or the log was cut"},
-		"killed":   {logLine(3, "a", "started", "") + "\n" + logLine(2, "b", "started", ""), "instance a was lost; it started again at 19:00:03.500000, 2000 ms after"},
-		"stopped":  {logLine(3, "a", "stopped", ""), "instance a stopped at 19:00:03.500000"},
+		"suspected": {logLine(2, "a", "crash_suspect", `,"request":"r","engine":"e0"`) + "\n" + logLine(3, "a", "started", ""),
+			"was at engine e1 when its instance a was lost; it started again"},
+		"cut off": {"", "was at engine e1 when its instance a was lost, or the log was cut"},
+		"killed":  {logLine(3, "a", "started", "") + "\n" + logLine(2, "b", "started", ""), "instance a was lost; it started again at 19:00:03.500000, 2000 ms after"},
+		"stopped": {logLine(3, "a", "stopped", ""), "instance a stopped at 19:00:03.500000"},
 		"repeated": {logLine(2, "a", "attempt_ended", `,"request":"r","engine":"e0","outcome":"errored","ms":3`) + "\n" +
 			logLine(3, "a", "attempt_ended", `,"request":"r","engine":"e1","outcome":"completed","ms":12`), "by engine e1, after 12 ms; tried before: e0 (errored)"},
 	} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -219,6 +219,10 @@
 		g.ready.Store(e.Ready)
 	case router.WatchStore:
 		g.storeWatch.set(e.On, e.MinInterval)
+	case router.StoreKey:
+		g.tasks.Go(func() { g.storeKey(e) })
+	case router.RemoveKey:
+		g.tasks.Go(func() { g.removeKey(e) })
 	case router.CheckEngine:
 		go g.checkEngine(e)
 	case router.DropIdleConns:
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -158,6 +158,33 @@
 	}
 }
 
+// storeKeyTimeout bounds the calls that write a key. The router tries again later.
+const storeKeyTimeout = time.Second
+
+// storeKey writes a key with a lease, unless the key exists.
+func (g *Gateway) storeKey(e router.StoreKey) {
+	ctx, cancel := context.WithTimeout(g.ctx, storeKeyTimeout)
+	defer cancel()
+	lease, err := g.store.GrantLease(ctx, e.TTL)
+	if err == nil {
+		_, err = g.store.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: e.Key}},
+			Writes:     []platform.Write{{Key: e.Key, Value: e.Value, Lease: lease}},
+		})
+	}
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		klog.InfoS("key not stored", "key", e.Key, "error", err.Error())
+	}
+}
+
+func (g *Gateway) removeKey(e router.RemoveKey) {
+	ctx, cancel := context.WithTimeout(g.ctx, storeKeyTimeout)
+	defer cancel()
+	if _, err := g.store.Commit(ctx, platform.Txn{Remove: []string{e.Key}}); err != nil {
+		klog.InfoS("key not removed, it expires with its lease", "key", e.Key, "error", err.Error())
+	}
+}
+
 // registerInstance keeps the instance's own key in the store until the gateway stops.
 func (g *Gateway) registerInstance() {
 	key := router.InstancePrefix + g.settings.PeerAddr
--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -24,7 +24,7 @@
 		return classAdmission
 	case wire.KindClaimRequest, wire.KindClaimReply, wire.KindClaimFinish:
 		return classClaims
-	case wire.KindStrike:
+	case wire.KindStrike, wire.KindCrashEvidence:
 		return classQuarantine
 	case wire.KindConfigRequest, wire.KindConfigManifest, wire.KindBlobRequest, wire.KindBlob,
 		wire.KindEngineState, wire.KindStoreFacts, wire.KindFactsRequest:
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -88,7 +88,7 @@
 		end()
 		return
 	}
-	if c.possibleRuns > 0 && r.quarantined(c) {
+	if _, refused := r.poison.detector.Check(r.now, c.traits()); refused {
 		end()
 		return
 	}
@@ -132,11 +132,11 @@
 	stats := r.statsOf(c.route.Name)
 	switch ev.Outcome {
 	case Completed:
-		r.markAnswered(c)
 		if ev.Failed {
 			r.engineFailed(c, pool, placement.Errored, stats)
 			return
 		}
+		r.markAnswered(c)
 		stats.succeeded(r.now, ev.FirstByte)
 		pool.engines.Succeeded(r.now, c.engine, ev.FirstByte, stats.meanLatency)
 	case Unsent:
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -20,6 +20,9 @@
 	// noEngineRetryAfter is the Retry-After of requests that no engine accepted. A failed engine is
 	// tried again after half a second.
 	noEngineRetryAfter = 300 * time.Millisecond
+	// quarantineRetryAfter is the Retry-After of requests that are refused because they would crash their
+	// engine. It is longer than callers wait.
+	quarantineRetryAfter = 2 * time.Minute
 	// maxUrgency is the least urgent rank that engines accept.
 	maxUrgency = 9
 	// defaultTimeout applies to requests without a timeout of their route or caller.
@@ -107,8 +110,9 @@
 	}
 	c.deadline = c.Arrived + r.timeLimit(c)
 	c.service = c.route.PickService(uint64(c.Prompt))
-	if r.quarantined(c) {
-		r.refuse(c, NotRun, "quarantined", poisonConfig.QuarantineDuration)
+	if trait, refused := r.poison.detector.Check(r.now, c.traits()); refused {
+		r.logDecision(c, "quarantine_matched", "trait", hexHash(trait))
+		r.refuse(c, NotRun, "quarantined", quarantineRetryAfter)
 		return
 	}
 	if pool := r.pools[c.service]; pool != nil {
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -113,6 +113,16 @@
 	MinInterval time.Duration
 }
 
+// StoreKey writes a key to the store with a lease, unless the key exists.
+type StoreKey struct {
+	Key   string
+	Value []byte
+	TTL   time.Duration
+}
+
+// RemoveKey removes a key from the store.
+type RemoveKey struct{ Key string }
+
 // SendToMany sends one message to several instances. It is encoded once.
 type SendToMany struct {
 	To      []fleet.InstanceID
@@ -188,6 +198,8 @@
 func (ConfigInForce) effect()  {}
 func (SetReady) effect()       {}
 func (WatchStore) effect()     {}
+func (StoreKey) effect()       {}
+func (RemoveKey) effect()      {}
 func (SendMessage) effect()    {}
 func (SendToMany) effect()     {}
 func (SetPeers) effect()       {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -98,6 +98,7 @@
 	r.emit(Decision{Kind: "peer_up", Fields: []any{"peer", ev.Instance}})
 	r.rebuildGrid()
 	r.sendStatusReport(ev.Instance)
+	r.sendCrashEvidence(ev.Instance)
 	r.divideBudgets()
 }
 
@@ -128,6 +129,8 @@
 		r.factsRequested(ev.From, m)
 	case *wire.Strike:
 		r.strikeReceived(m)
+	case *wire.CrashEvidence:
+		r.crashEvidenceReceived(ev.From, m)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,7 +18,6 @@
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/placement"
-	"github.com/bilberrywell/bilberrywell/quarantine"
 	"github.com/bilberrywell/bilberrywell/registry"
 	"github.com/bilberrywell/bilberrywell/replica"
 	"github.com/bilberrywell/bilberrywell/retry"
@@ -115,7 +114,7 @@
 		expelled: make(map[fleet.EngineID]time.Duration),
 	}
 	r.replica = replica.New(r.contentHash)
-	r.poison.init()
+	r.poison.init(fleet.Hash("instance", string(cfg.Instance)))
 	r.members.init()
 	r.relays.init()
 	r.rebuildGrid()
@@ -173,12 +172,8 @@
 	r.tickLoads()
 	r.tickRelay()
 	r.tickAwaitingCalls()
-	r.poison.tracker.Tick(r.now)
+	r.tickPoison()
 	r.tickDrain()
 }
 
 func (r *Router) emit(e Effect) { r.effects = append(r.effects, e) }
-
-// poisonConfig quarantines a request that was in flight at three engine crashes. A threshold of two
-// would also refuse requests that were in flight at two crashes by coincidence.
-var poisonConfig = quarantine.Config{Threshold: 3, StrikeLife: 2 * time.Minute, QuarantineDuration: 2 * time.Minute}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -60,8 +60,10 @@
 	last CallID
 }
 
-func newSession(t *testing.T, engines int) *session {
-	s := &session{t: t, r: New(Config{Instance: "i1", DataCentre: "dc", StoreDecoder: fakeDecoder{}, RetryReserve: 100})}
+func newSession(t *testing.T, engines int) *session { return newNamedSession(t, "i1", engines) }
+
+func newNamedSession(t *testing.T, id fleet.InstanceID, engines int) *session {
+	s := &session{t: t, r: New(Config{Instance: id, DataCentre: "dc", StoreDecoder: fakeDecoder{}, RetryReserve: 100})}
 	s.step(Tick{})
 	listing := []replica.Fact{{Key: "config", Revision: 1, Value: []byte("1")}}
 	for i := range engines {
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -100,6 +100,8 @@
 			enginesChanged = r.applyRegistration(f) || enginesChanged
 		case strings.HasPrefix(f.Key, InstancePrefix):
 			instancesChanged = true
+		case strings.HasPrefix(f.Key, QuarantinePrefix):
+			r.applyQuarantine(f)
 		}
 	}
 	if enginesChanged {
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -75,6 +75,9 @@
 // Kind implements Message.
 func (*Loads) Kind() Kind { return KindLoads }
 
+// Kind implements Message.
+func (*CrashEvidence) Kind() Kind { return KindCrashEvidence }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -128,6 +131,8 @@
 		return &FactsRequest{}
 	case KindLoads:
 		return &Loads{}
+	case KindCrashEvidence:
+		return &CrashEvidence{}
 	}
 	return nil
 }
@@ -186,6 +191,8 @@
 		return "facts_request"
 	case KindLoads:
 		return "loads"
+	case KindCrashEvidence:
+		return "crash_evidence"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -37,6 +37,7 @@
 	KindStoreFacts      Kind = 25
 	KindFactsRequest    Kind = 26
 	KindLoads           Kind = 27
+	KindCrashEvidence   Kind = 28
 )
 
 // Hello is the first message on a link, in both directions.
@@ -287,6 +288,25 @@
 	Confirmed bool `cbor:"4,keyasint,omitempty"`
 	// AgeMs is the time since the crash, set when a strike is passed on to further instances.
 	AgeMs uint32 `cbor:"5,keyasint,omitempty"`
+	// Parts holds the hashes of the prompt parts of each request in Fingerprints, in the same order. It
+	// may be shorter.
+	Parts [][]fleet.Fingerprint `cbor:"6,keyasint,omitempty"`
+}
+
+// CrashEvidence tells which traits of requests, prompt parts or whole requests, are known not to crash
+// engines, and which are quarantined because they do.
+type CrashEvidence struct {
+	// Answered holds the time since an answered request with the trait was sent to its engine.
+	Answered []TraitTime `cbor:"1,keyasint,omitempty"`
+	// Quarantined holds the remaining time of the quarantine.
+	Quarantined []TraitTime `cbor:"2,keyasint,omitempty"`
+}
+
+// TraitTime is a time in milliseconds that belongs to a trait.
+type TraitTime struct {
+	_     struct{} `cbor:",toarray"`
+	Trait fleet.Fingerprint
+	Ms    uint32
 }
 
 // ConfigRequest asks for the manifest of the newest configuration.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
 )
 
 func sampleMessages() []Message {
@@ -14,6 +16,8 @@
 		&Admit{Attempt: 1, Engine: "e1", Chat: 1 << 60, Customer: "c1", MayQueue: true},
 		&ClaimReply{ID: 3, Status: ClaimRecorded, Outcome: &Outcome{Status: 201, Body: []byte("ok")}},
 		&Strike{Engine: "e1", EngineIncarnation: 2, Fingerprints: nil},
+		&Strike{Engine: "e1", Fingerprints: []fleet.Fingerprint{7, 8}, Parts: [][]fleet.Fingerprint{{1, 2}, {3}}},
+		&CrashEvidence{Answered: []TraitTime{{Trait: 1 << 63, Ms: 20}}, Quarantined: []TraitTime{{Trait: 3, Ms: 120_000}}},
 		&StatusReport{Sequence: 4, Running: []EngineCount{{Engine: 7, Count: 2}}, Prompts: []PromptLocation{{Prompt: 9, Engine: "e1"}}, LoadsInGrid: true},
 		&Loads{IsRowSum: true, Running: []EngineCount{{Engine: 1 << 31, Count: 300}}},
 		&ChatPlacement{Chat: 7, First: "e1", Engine: "e2"},
