internal/router, platform: log the rate limits that engines name

No line and no code knew the limit that an engine names in its responses, so it could not be told whether instances ignore it, each take all of it, or forget it. The adapter now decodes the header, and an instance logs when an engine names a limit, changes it, or signs a response without one.

What an engine says of itself is recorded once in an attempt, when the header arrives: the header of a stream is out of date when the stream ends.

No request is limited yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,8 @@
 		return
 	}
 	a.result.FirstByte = a.g.now() - a.sentAt
-	a.result.Load = a.responseHead.Load
+	report := a.engineReport()
+	a.result.Report = &report
 	a.resetStallTimer()
 	a.forwardResponse()
 }
@@ -136,6 +137,15 @@
 	return a.responseHead.ID == a.callerRequest.callHead.ID
 }
 
+// engineReport returns what the engine says of itself in the header of the response. A response that was
+// sent by another engine says nothing.
+func (a *attempt) engineReport() router.EngineReport {
+	if a.responseHead.Misdirected {
+		return router.EngineReport{}
+	}
+	return router.EngineReport{Load: a.responseHead.Load, RateLimit: a.responseHead.RateLimit, Confirmed: a.responseHead.Signed}
+}
+
 // fail closes the connection and sets the outcome of an attempt that ended without a complete response.
 func (a *attempt) fail(outcome router.Outcome, err error) {
 	if a.exchange != nil {
@@ -165,7 +175,7 @@
 		// The caller has received a part of the stream and would take a failure's body for the rest of it.
 		a.fail(router.Broken, errNotResumed)
 	case res.StatusCode < 300 && a.cmd.Route.Kind == routing.Streaming:
-		a.g.step(router.ResponseStarted{Call: a.id, Load: a.responseHead.Load})
+		a.g.step(router.ResponseStarted{Call: a.id, Report: *a.result.Report})
 		a.forwardStream()
 	default:
 		a.forwardWhole()
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -65,4 +65,7 @@
 	Misdirected bool
 	// Load is the load that the engine reported, or nil.
 	Load *placement.Load
+	// RateLimit is the number of requests a second that the engine accepts from all instances together, or
+	// nil if it names no limit.
+	RateLimit *float64
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -13,7 +13,8 @@
 	if c == nil {
 		return
 	}
-	r.recordEngineLoad(c, ev.Load)
+	r.recordEngineReport(c, &ev.Report)
+	c.reported = true
 	if pool := r.pools[c.service]; pool != nil && c.route.Affinity {
 		pool.engines.RecordPromptRead(r.now, c.engine, uint64(c.Prompt))
 		if c.choiceReason != placement.FirstChoice {
@@ -22,11 +23,12 @@
 	}
 }
 
-// recordEngineLoad records the load that an engine reported in the header of a response.
-func (r *Router) recordEngineLoad(c *call, load *placement.Load) {
-	if pool := r.pools[c.service]; pool != nil && load != nil {
-		pool.engines.RecordLoadReport(r.now, c.engine, *load)
+// recordEngineReport records what an engine said of itself in the header of a response.
+func (r *Router) recordEngineReport(c *call, report *EngineReport) {
+	if pool := r.pools[c.service]; pool != nil && report.Load != nil {
+		pool.engines.RecordLoadReport(r.now, c.engine, *report.Load)
 	}
+	r.recordRateLimit(c.engine, report)
 }
 
 // attemptEnded records the outcome of an attempt and decides whether another one follows.
@@ -39,7 +41,9 @@
 	if pool := r.pools[c.service]; pool != nil {
 		pool.engines.Ended(c.engine)
 	}
-	r.recordEngineLoad(c, ev.Load)
+	if ev.Report != nil && !c.reported {
+		r.recordEngineReport(c, ev.Report)
+	}
 	r.countAttempt(c, ev.Outcome)
 	r.recordOutcome(c, ev)
 	r.emit(AttemptDone{Kind: c.route.Kind, Outcome: ev.Outcome, Reason: c.choiceReason, Try: len(c.triedEngines) + 1, FirstByte: ev.FirstByte,
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -46,6 +46,9 @@
 	sentAt       time.Duration
 	// cacheFetch reports whether the engine was asked to fetch the prompt's cache from another one.
 	cacheFetch bool
+	// reported reports whether what the engine says of itself in this attempt's response was recorded. At
+	// the end of a long stream it is out of date.
+	reported bool
 	// triedEngines lists the engines of earlier attempts.
 	triedEngines []fleet.EngineID
 	// reachedAttempts counts the attempts that reached an engine, possibleRuns those that may have run.
@@ -187,6 +190,7 @@
 	c.choiceReason = choice.Reason
 	c.cacheFetch = choice.FetchFrom != ""
 	c.sentAt = r.now
+	c.reported = false
 	pool.engines.Started(c.engine)
 	header, gap := r.stallTimeouts(c, pool)
 	r.emit(Send{
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -39,11 +39,22 @@
 // CallArrived reports a caller's request that was read completely.
 type CallArrived struct{ Call Call }
 
-// ResponseStarted reports the header of an engine's response.
-type ResponseStarted struct {
-	Call CallID
+// EngineReport is what an engine says of itself in the header of a response.
+type EngineReport struct {
 	// Load is the load that the engine reported, or nil.
 	Load *placement.Load
+	// RateLimit is the number of requests a second that the engine accepts from all instances together, or
+	// nil if it names no limit.
+	RateLimit *float64
+	// Confirmed reports whether the engine signed the response as the result of a request. Other responses
+	// may lack what the engine would say.
+	Confirmed bool
+}
+
+// ResponseStarted reports the header of an engine's response.
+type ResponseStarted struct {
+	Call   CallID
+	Report EngineReport
 }
 
 // Outcome is the way in which an attempt ended.
@@ -86,7 +97,8 @@
 	FirstByte time.Duration
 	// Failed reports, for a completed attempt, whether the response is a failure of the engine.
 	Failed bool
-	Load   *placement.Load
+	// Report is nil without the header of a response.
+	Report *EngineReport
 	// Detail is the text of the error, for logs.
 	Detail string
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,9 +90,11 @@
 	// expelled holds, for each engine that was removed because its address belongs to another engine,
 	// when it is readmitted if it is still registered.
 	expelled map[fleet.EngineID]time.Duration
-	relays   relayState
-	drain    drainState
-	ready    bool
+	// rateLimits holds the limits that engines name, in requests a second.
+	rateLimits map[fleet.EngineID]float64
+	relays     relayState
+	drain      drainState
+	ready      bool
 }
 
 // servicePool holds the engines of a service and the retry budget for them.
@@ -112,6 +114,8 @@
 		routes:   make(map[string]*routeStats),
 		calls:    make(map[CallID]*call),
 		expelled: make(map[fleet.EngineID]time.Duration),
+
+		rateLimits: make(map[fleet.EngineID]float64),
 	}
 	r.replica = replica.New(r.contentHash)
 	r.poison.init(fleet.Hash("instance", string(cfg.Instance)))
