ratelimit, placement, internal/router: the fleet keeps to the rate limits that engines name

Cause: nothing read the limit. Evidence: every instance had received the limit of every engine within 0.2 s, and engines with and without one got the same requests as before. Class of fault: a signal of the engine that the adapter dropped. A limit for all instances together can't be kept by each one alone.

Package ratelimit keeps what engines said and spreads it: an instance broadcasts a new limit, a change by a tenth, the end of a limit, and a confirmation every 10 s; a new link gets all limits; a limit lapses with the engine's process, when a signed answer names none, or after 30 s without an answer. In a small fleet each instance has a share by demand as a token bucket. Where instances could save up more requests together than an engine accepts (above 0.8 x limit + 4 instances), one owner per engine admits each request; an owner that does not answer costs 50 ms once in half a second. A limit that has ended rises to nothing in 1.5 s, so that not all instances return at once.

An engine with a limit keeps a part of its prompts that fits the limit; the others go to their next engine, and the load bound goes by the engines without a limit. Refusals say when to come back.

TestNamedRateLimitIsKept on the old code: 209 requests to an engine in 4 s, 17 accepted; it holds now.

--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -20,11 +20,12 @@
 func classOf(kind wire.Kind) class {
 	switch kind {
 	case wire.KindAdmit, wire.KindAdmitReply, wire.KindRelease,
-		wire.KindRegister, wire.KindRegisterDone, wire.KindRegisterRequest, wire.KindRateRequest, wire.KindRateGrant, wire.KindChatPlacement:
+		wire.KindRegister, wire.KindRegisterDone, wire.KindRegisterRequest, wire.KindRateRequest, wire.KindRateGrant, wire.KindChatPlacement,
+		wire.KindAdmissionRequest, wire.KindAdmissionReply:
 		return classAdmission
 	case wire.KindClaimRequest, wire.KindClaimReply, wire.KindClaimFinish:
 		return classClaims
-	case wire.KindStrike, wire.KindCrashEvidence:
+	case wire.KindStrike, wire.KindCrashEvidence, wire.KindEngineLimits:
 		return classQuarantine
 	case wire.KindConfigRequest, wire.KindConfigManifest, wire.KindBlobRequest, wire.KindBlob,
 		wire.KindEngineState, wire.KindStoreFacts, wire.KindFactsRequest:
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
@@ -20,6 +21,9 @@
 	// noEngineRetryAfter is the Retry-After of requests that no engine accepted. A failed engine is
 	// tried again after half a second.
 	noEngineRetryAfter = 300 * time.Millisecond
+	// limitRetrySpread is the time over which callers return whose requests the rate limits of engines did
+	// not admit.
+	limitRetrySpread = time.Second
 	// quarantineRetryAfter is the Retry-After of requests that are refused because they would crash their
 	// engine. It is longer than callers wait.
 	quarantineRetryAfter = 2 * time.Minute
@@ -51,6 +55,10 @@
 	reported bool
 	// triedEngines lists the engines of earlier attempts.
 	triedEngines []fleet.EngineID
+	// deniedEngines lists the engines for which the owners of their rate limits did not admit the request,
+	// and asks counts the owners that were asked.
+	deniedEngines []fleet.EngineID
+	asks          int
 	// reachedAttempts counts the attempts that reached an engine, possibleRuns those that may have run.
 	reachedAttempts, possibleRuns int
 	// partDelivered reports whether a part of a response has reached the caller.
@@ -120,6 +128,7 @@
 	}
 	if pool := r.pools[c.service]; pool != nil {
 		pool.budget.CountFirst(r.now)
+		pool.demand.add(r.now)
 	}
 	r.place(c)
 }
@@ -168,7 +177,8 @@
 	}
 	request := placement.Request{
 		DataCentre:          r.cfg.DataCentre,
-		Exclude:             c.triedEngines,
+		Exclude:             append(slices.Clone(c.deniedEngines), c.triedEngines...),
+		AvoidAsking:         c.asks >= maxAsks,
 		AvoidRecentlyPaused: !c.route.Repeatable(),
 	}
 	if c.route.Affinity {
@@ -179,9 +189,18 @@
 	}
 	choice, ok := pool.engines.Choose(r.now, request)
 	if !ok {
+		if wait, limited := pool.engines.NextToken(r.now, request); limited {
+			// Callers return one after the other, since tokens accrue one after the other.
+			r.giveUpFor(c, "rate_limited", wait+time.Duration(r.rng.Int64N(int64(limitRetrySpread))))
+			return
+		}
 		r.giveUp(c, "no_engine")
 		return
 	}
+	if choice.Owner != "" {
+		r.askAdmission(c, choice)
+		return
+	}
 	r.send(c, pool, choice)
 }
 
@@ -192,6 +211,7 @@
 	c.sentAt = r.now
 	c.reported = false
 	pool.engines.Started(c.engine)
+	pool.engines.TakeToken(r.now, c.engine)
 	header, gap := r.stallTimeouts(c, pool)
 	r.emit(Send{
 		HeaderTimeout: header,
@@ -257,12 +277,15 @@
 }
 
 // giveUp refuses a request for which no further attempt is possible.
-func (r *Router) giveUp(c *call, code string) {
+func (r *Router) giveUp(c *call, code string) { r.giveUpFor(c, code, noEngineRetryAfter) }
+
+// giveUpFor refuses a request for which no further attempt is possible before retryAfter.
+func (r *Router) giveUpFor(c *call, code string, retryAfter time.Duration) {
 	if c.possibleRuns > 0 {
 		r.refuse(c, MayHaveRun, code, 0)
 		return
 	}
-	r.refuse(c, NotRun, code, noEngineRetryAfter)
+	r.refuse(c, NotRun, code, retryAfter)
 }
 
 func (r *Router) refuse(c *call, refusal Refusal, code string, retryAfter time.Duration) {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -99,6 +99,7 @@
 	r.rebuildGrid()
 	r.sendStatusReport(ev.Instance)
 	r.sendCrashEvidence(ev.Instance)
+	r.sendRateLimits(ev.Instance)
 	r.divideBudgets()
 }
 
@@ -131,6 +132,12 @@
 		r.strikeReceived(m)
 	case *wire.CrashEvidence:
 		r.crashEvidenceReceived(ev.From, m)
+	case *wire.EngineLimits:
+		r.rateLimitsReceived(ev.From, m)
+	case *wire.AdmissionRequest:
+		r.admissionRequested(ev.From, m)
+	case *wire.AdmissionReply:
+		r.admissionReplied(m)
 	}
 }
 
@@ -286,6 +293,7 @@
 		Draining:       r.drain.active,
 		LoadsInGrid:    r.inGrid(),
 		IntervalMs:     uint32(r.maxStatusReportInterval().Milliseconds()),
+		Demand:         r.reportedDemand(),
 	}
 	if !m.LoadsInGrid {
 		m.Running = r.runningCounts()
--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -62,8 +62,8 @@
 	require.True(t, s.answer(classPart, subjectPart), "harmless requests share the caller and the other parts")
 }
 
-// beliefFleet holds routers that are linked to each other without the cost of opening each link. All
-// messages but status reports are delivered at the next round.
+// beliefFleet holds routers that are linked to each other without the cost of opening each link. Status
+// reports are not delivered.
 type beliefFleet struct {
 	t       *testing.T
 	ids     []fleet.InstanceID
@@ -74,6 +74,8 @@
 	stored map[string][]byte
 	// bytes counts the sent messages' bytes, by sender.
 	bytes map[fleet.InstanceID]int
+	// onSend is called for each attempt that an instance sends; nil ignores them.
+	onSend func(from fleet.InstanceID, send Send)
 }
 
 type delivery struct {
@@ -89,7 +91,7 @@
 	for _, id := range f.ids {
 		f.add(id, engines)
 	}
-	for _, id := range f.ids[watcherCount:] {
+	for _, id := range f.ids[min(n, watcherCount):] {
 		f.members[id].r.store.watching = false
 	}
 	return f
@@ -105,9 +107,17 @@
 			s.r.members.linked[peer] = &peerState{incarnation: 1, lastReportAt: time.Hour, lastStatusReport: &wire.StatusReport{}}
 		}
 	}
+	s.r.rebuildGrid()
 	f.members[id] = s
 }
 
+// arrive passes a caller's request to an instance.
+func (f *beliefFleet) arrive(id fleet.InstanceID) {
+	s := f.members[id]
+	s.last++
+	f.step(id, CallArrived{Call: Call{ID: s.last, Host: "h", Path: "/chat/x", Prompt: fleet.ChatKey(s.last), Fingerprint: fleet.Fingerprint(s.last), Arrived: f.now}})
+}
+
 func (f *beliefFleet) step(id fleet.InstanceID, ev Event) []Effect {
 	s := f.members[id]
 	s.now = f.now
@@ -115,7 +125,8 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case SendMessage:
-			if e.Message.Kind() == wire.KindStrike || e.Message.Kind() == wire.KindCrashEvidence {
+			switch e.Message.Kind() {
+			case wire.KindStrike, wire.KindCrashEvidence, wire.KindEngineLimits, wire.KindAdmissionRequest, wire.KindAdmissionReply:
 				f.pending = append(f.pending, delivery{id, e.To, e.Message})
 				data, err := wire.Append(nil, e.Message)
 				require.NoError(f.t, err)
@@ -123,15 +134,19 @@
 			}
 		case StoreKey:
 			f.stored[e.Key] = e.Value
+		case Send:
+			if f.onSend != nil {
+				f.onSend(id, e)
+			}
 		}
 	}
 	return effects
 }
 
-// run passes time in steps of 50 ms. Each step delivers the messages of the step before.
-func (f *beliefFleet) run(d time.Duration) {
-	for range d / (50 * time.Millisecond) {
-		f.now += 50 * time.Millisecond
+// deliver passes on all messages, which take one millisecond each.
+func (f *beliefFleet) deliver() {
+	for len(f.pending) > 0 {
+		f.now += time.Millisecond
 		arriving := f.pending
 		f.pending = nil
 		for _, m := range arriving {
@@ -139,12 +154,22 @@
 				f.step(m.to, PeerMessage{From: m.from, Incarnation: 1, Message: m.message})
 			}
 		}
+	}
+}
+
+// run passes time in steps of 50 ms.
+func (f *beliefFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.deliver()
+		f.now += 50 * time.Millisecond
 		for _, id := range f.ids {
 			if s := f.members[id]; s != nil {
 				s.now = f.now
 				s.r.now = f.now
 				s.r.effects = s.r.effects[:0]
 				s.r.tickPoison()
+				s.r.tickRateLimits()
+				s.r.tickAdmissions()
 				f.stepEffects(id, s)
 			}
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/placement"
+	"github.com/bilberrywell/bilberrywell/ratelimit"
 	"github.com/bilberrywell/bilberrywell/registry"
 	"github.com/bilberrywell/bilberrywell/replica"
 	"github.com/bilberrywell/bilberrywell/retry"
@@ -89,9 +90,9 @@
 	store          storeState
 	// expelled holds, for each engine that was removed because its address belongs to another engine,
 	// when it is readmitted if it is still registered.
-	expelled map[fleet.EngineID]time.Duration
-	// rateLimits holds the limits that engines name, in requests a second.
-	rateLimits map[fleet.EngineID]float64
+	expelled   map[fleet.EngineID]time.Duration
+	limits     rateLimitState
+	admissions admissionState
 	relays     relayState
 	drain      drainState
 	ready      bool
@@ -101,6 +102,8 @@
 type servicePool struct {
 	engines *placement.Pool
 	budget  retry.Window
+	// demand is the rate of this instance's requests for the service.
+	demand demandMeter
 }
 
 // New returns the router of an instance.
@@ -114,12 +117,12 @@
 		routes:   make(map[string]*routeStats),
 		calls:    make(map[CallID]*call),
 		expelled: make(map[fleet.EngineID]time.Duration),
-
-		rateLimits: make(map[fleet.EngineID]float64),
+		limits:   rateLimitState{book: ratelimit.NewBook()},
 	}
 	r.replica = replica.New(r.contentHash)
 	r.poison.init(fleet.Hash("instance", string(cfg.Instance)))
 	r.members.init()
+	r.admissions.init()
 	r.relays.init()
 	r.rebuildGrid()
 	return r
@@ -177,6 +180,8 @@
 	r.tickRelay()
 	r.tickAwaitingCalls()
 	r.tickPoison()
+	r.tickRateLimits()
+	r.tickAdmissions()
 	r.tickDrain()
 }
 
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -175,6 +175,7 @@
 
 func (r *Router) forgetEngine(addr string, id fleet.EngineID) {
 	delete(r.poison.suspects, id)
+	r.limits.book.Forget(id)
 	r.emit(DropIdleConns{Addr: addr})
 }
 
@@ -244,6 +245,7 @@
 		pools[id] = pool
 	}
 	r.pools = pools
+	r.applyRateLimits(r.limits.book.Engines())
 	r.divideBudgets()
 	r.updatePoolLoads()
 }
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -78,6 +78,15 @@
 // Kind implements Message.
 func (*CrashEvidence) Kind() Kind { return KindCrashEvidence }
 
+// Kind implements Message.
+func (*EngineLimits) Kind() Kind { return KindEngineLimits }
+
+// Kind implements Message.
+func (*AdmissionReply) Kind() Kind { return KindAdmissionReply }
+
+// Kind implements Message.
+func (*AdmissionRequest) Kind() Kind { return KindAdmissionRequest }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -133,6 +142,12 @@
 		return &Loads{}
 	case KindCrashEvidence:
 		return &CrashEvidence{}
+	case KindEngineLimits:
+		return &EngineLimits{}
+	case KindAdmissionReply:
+		return &AdmissionReply{}
+	case KindAdmissionRequest:
+		return &AdmissionRequest{}
 	}
 	return nil
 }
@@ -193,6 +208,12 @@
 		return "loads"
 	case KindCrashEvidence:
 		return "crash_evidence"
+	case KindEngineLimits:
+		return "engine_limits"
+	case KindAdmissionReply:
+		return "admission_reply"
+	case KindAdmissionRequest:
+		return "admission_request"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -12,32 +12,35 @@
 
 // Message kinds. 14 and 20 are reserved.
 const (
-	KindHello           Kind = 1
-	KindHeartbeat       Kind = 2
-	KindAdmit           Kind = 3
-	KindAdmitReply      Kind = 4
-	KindRelease         Kind = 5
-	KindRegister        Kind = 6
-	KindRegisterDone    Kind = 7
-	KindRateRequest     Kind = 8
-	KindRateGrant       Kind = 9
-	KindClaimRequest    Kind = 10
-	KindClaimReply      Kind = 11
-	KindClaimFinish     Kind = 12
-	KindStrike          Kind = 13
-	KindConfigRequest   Kind = 15
-	KindConfigManifest  Kind = 16
-	KindBlobRequest     Kind = 17
-	KindBlob            Kind = 18
-	KindEngineState     Kind = 19
-	KindStamp           Kind = 21
-	KindChatPlacement   Kind = 22
-	KindRegisterRequest Kind = 23
-	KindStatusReport    Kind = 24
-	KindStoreFacts      Kind = 25
-	KindFactsRequest    Kind = 26
-	KindLoads           Kind = 27
-	KindCrashEvidence   Kind = 28
+	KindHello            Kind = 1
+	KindHeartbeat        Kind = 2
+	KindAdmit            Kind = 3
+	KindAdmitReply       Kind = 4
+	KindRelease          Kind = 5
+	KindRegister         Kind = 6
+	KindRegisterDone     Kind = 7
+	KindRateRequest      Kind = 8
+	KindRateGrant        Kind = 9
+	KindClaimRequest     Kind = 10
+	KindClaimReply       Kind = 11
+	KindClaimFinish      Kind = 12
+	KindStrike           Kind = 13
+	KindConfigRequest    Kind = 15
+	KindConfigManifest   Kind = 16
+	KindBlobRequest      Kind = 17
+	KindBlob             Kind = 18
+	KindEngineState      Kind = 19
+	KindStamp            Kind = 21
+	KindChatPlacement    Kind = 22
+	KindRegisterRequest  Kind = 23
+	KindStatusReport     Kind = 24
+	KindStoreFacts       Kind = 25
+	KindFactsRequest     Kind = 26
+	KindLoads            Kind = 27
+	KindCrashEvidence    Kind = 28
+	KindEngineLimits     Kind = 29
+	KindAdmissionRequest Kind = 30
+	KindAdmissionReply   Kind = 31
 )
 
 // Hello is the first message on a link, in both directions.
@@ -362,6 +365,54 @@
 	Prompts []PromptLocation `cbor:"8,keyasint,omitempty"`
 	// LoadsInGrid is set when the sender reports what it runs in Loads messages.
 	LoadsInGrid bool `cbor:"9,keyasint,omitempty"`
+	// Demand lists the sender's demand for services of which engines have named rate limits.
+	Demand []ServiceDemand `cbor:"10,keyasint,omitempty"`
+}
+
+// ServiceDemand is the rate of an instance's requests for a service.
+type ServiceDemand struct {
+	_       struct{} `cbor:",toarray"`
+	Service fleet.ServiceID
+	// MilliRate is in thousandths of a request a second.
+	MilliRate int64
+}
+
+// AdmissionRequest asks the owner of an engine's rate limit whether the sender may send the engine a
+// request.
+type AdmissionRequest struct {
+	// ID is repeated in the reply.
+	ID     uint64         `cbor:"1,keyasint"`
+	Engine fleet.EngineID `cbor:"2,keyasint"`
+	// Key is the cache key of the request's prompt, 0 without one. FirstChoice reports whether the engine
+	// is the first one in the key's order.
+	Key         uint64 `cbor:"3,keyasint,omitempty"`
+	FirstChoice bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// AdmissionReply answers AdmissionRequest.
+type AdmissionReply struct {
+	ID       uint64 `cbor:"1,keyasint"`
+	Admitted bool   `cbor:"2,keyasint,omitempty"`
+	// RetryAfterMs is the time until the engine accepts another request of any prompt. It is 0 if only this
+	// request is denied.
+	RetryAfterMs uint32 `cbor:"3,keyasint,omitempty"`
+}
+
+// EngineLimits reports the rate limits that engines have named.
+type EngineLimits struct {
+	Limits []EngineLimit `cbor:"1,keyasint"`
+}
+
+// EngineLimit is what an engine said of its rate limit.
+type EngineLimit struct {
+	_           struct{} `cbor:",toarray"`
+	Engine      fleet.EngineID
+	Incarnation uint64
+	// MilliRate is in thousandths of a request a second for all instances together, or negative if the
+	// engine named no limit.
+	MilliRate int64
+	// AgeMs is the time since the engine said so.
+	AgeMs uint32
 }
 
 // Loads reports the requests that the sender runs or, if IsRowSum is set, the sum for its row of the
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -83,6 +83,8 @@
 	// AvoidRecentlyPaused avoids engines that have not succeeded since their last pause. It is set
 	// for requests that can't be sent twice.
 	AvoidRecentlyPaused bool
+	// AvoidAsking leaves out engines whose rate limit another instance enforces.
+	AvoidAsking bool
 }
 
 // Reason is why an engine was chosen.
@@ -112,6 +114,10 @@
 	Reason Reason
 	// FetchFrom is an engine that is likely to hold the prompt's cache when Engine does not.
 	FetchFrom string
+	// Owner is the instance that must admit the request because of the engine's rate limit, or empty.
+	// IsFirst reports whether the engine is the first one in the order of the request's cache key.
+	Owner   fleet.InstanceID
+	IsFirst bool
 	// Load and Mean are the estimated loads of the engine and of the pool at the time of the choice.
 	Load int
 	Mean float64
@@ -145,6 +151,9 @@
 	report        Load
 	reportExpires time.Duration
 	health        health
+	// limit bounds the rate of this instance's requests to an engine that has named a rate limit; nil
+	// without one.
+	limit *rateBound
 }
 
 // New returns an empty pool.
@@ -235,33 +244,62 @@
 	return m.ownRequests
 }
 
-// Choose returns an engine for a request, or false if every engine is draining or excluded. For a
-// request with a cache key, an engine with a free slot is preferred to one that would queue it.
+// Choose returns an engine for a request, or false if every engine is draining, excluded or may not get
+// more requests because of its rate limit. For a request with a cache key, an engine with a free slot is
+// preferred to one that would queue it.
 func (p *Pool) Choose(now time.Duration, request Request) (Choice, bool) {
+	choice, ok := p.choose(now, request)
+	if m := p.members[choice.Engine.ID]; ok && m.limit != nil && m.limit.Owner != "" {
+		choice.Owner = m.limit.Owner
+		choice.IsFirst = request.Key != 0 && m == p.firstUsable(now, request)
+	}
+	return choice, ok
+}
+
+func (p *Pool) choose(now time.Duration, request Request) (Choice, bool) {
 	mean := p.mean(now)
 	p.rankedChoices = p.rankedChoices[:0]
+	limited := p.hasLimits()
 	if request.Key != 0 {
-		for _, allowQueue := range []bool{false, true} {
-			if c, ok := p.chooseRanked(now, request, mean, allowQueue); ok {
+		p.countFirst(now, request)
+		passes := usualPasses
+		if limited {
+			passes = limitedPasses
+		}
+		for _, pass := range passes {
+			if c, ok := p.chooseRanked(now, request, mean, pass); ok {
 				return c, true
 			}
 		}
 	}
-	if c, ok := p.chooseLeastLoaded(now, request, mean); ok {
+	c, ok := p.chooseLeastLoaded(now, request, mean)
+	if limited && request.Key != 0 {
+		return c, ok && float64(c.Load) < queueShare*float64(c.Engine.Slots)
+	}
+	if ok {
 		return c, true
 	}
 	return p.chooseLastResort(now, request, mean)
 }
 
-// mean returns the mean load of the engines that are not draining.
+// mean returns the mean load of the engines that are not draining. Engines with a rate limit count only
+// if all have one: they carry less than the others, which must be able to carry more.
 func (p *Pool) mean(now time.Duration) float64 {
-	sum, n := 0, 0
+	sum, n, limitedSum, limited := 0, 0, 0, 0
 	for _, m := range p.memberList {
-		if !m.Draining {
+		switch {
+		case m.Draining:
+		case m.limit != nil:
+			limitedSum += p.load(now, m)
+			limited++
+		default:
 			sum += p.load(now, m)
 			n++
 		}
 	}
+	if n == 0 {
+		sum, n = limitedSum, limited
+	}
 	if n == 0 {
 		return 0
 	}
@@ -275,18 +313,38 @@
 
 // usable reports whether an engine may get a request, regardless of its load.
 func (p *Pool) usable(now time.Duration, m *member, request Request) bool {
+	return m.mayReceive(now, request) && p.usableBut(now, m, request)
+}
+
+// usableBut reports whether an engine may get a request, regardless of its load and its rate limit.
+func (p *Pool) usableBut(now time.Duration, m *member, request Request) bool {
 	return !m.Draining && m.health.admits(now, request.AvoidRecentlyPaused) && !slices.Contains(request.Exclude, m.ID)
 }
 
-// chooseRanked returns the first usable engine below the load bound in the key's rendezvous order.
-// Engines without a free slot are left out unless allowQueue is set. When all engines are full, a
-// request queues at the first one below the bound: if it went to the least loaded engine instead,
-// all instances would choose the same one until its new load is announced.
-func (p *Pool) chooseRanked(now time.Duration, request Request, mean float64, allowQueue bool) (Choice, bool) {
+// rankedPass tells which engines chooseRanked leaves out.
+type rankedPass struct {
+	// slotShare is the load from which an engine is left out, as a share of its slots. Infinity admits
+	// engines that would queue the request.
+	slotShare float64
+	// anyLimited admits engines with a rate limit for prompts that are not kept there.
+	anyLimited bool
+}
+
+// usualPasses prefers engines with a free slot. When all engines are full, a request queues at the first
+// one below the load bound: if it went to the least loaded engine instead, all instances would choose the
+// same one until its new load is announced.
+var usualPasses = []rankedPass{{slotShare: 1}, {slotShare: math.Inf(1)}}
+
+// chooseRanked returns the first usable engine in the key's rendezvous order that the pass admits.
+func (p *Pool) chooseRanked(now time.Duration, request Request, mean float64, pass rankedPass) (Choice, bool) {
 	bound := p.loadBound(mean)
 	for i := range p.memberList {
 		m := p.rankedMember(request.Key, i)
-		if !p.usable(now, m, request) || p.load(now, m) >= bound || !allowQueue && p.full(now, m) {
+		load := p.load(now, m)
+		switch {
+		case !p.usable(now, m, request), load >= bound, m.Slots > 0 && float64(load) >= pass.slotShare*float64(m.Slots):
+			continue
+		case m.limited() && !pass.anyLimited && !p.keptAt(now, m, request):
 			continue
 		}
 		reason := FirstChoice
@@ -349,11 +407,6 @@
 	return m.joinedBeforeFirstRequest || now-m.joinedAt >= p.config.FetchWindow
 }
 
-// full reports whether an engine has no free slot and would queue one more request.
-func (p *Pool) full(now time.Duration, m *member) bool {
-	return m.Slots > 0 && p.load(now, m) >= m.Slots
-}
-
 // chooseLeastLoaded returns the engine with the lowest cost.
 func (p *Pool) chooseLeastLoaded(now time.Duration, request Request, mean float64) (Choice, bool) {
 	var best *member
@@ -401,7 +454,7 @@
 func (p *Pool) chooseLastResort(now time.Duration, request Request, mean float64) (Choice, bool) {
 	var best *member
 	for _, m := range p.memberList {
-		if m.Draining || slices.Contains(request.Exclude, m.ID) {
+		if m.Draining || !m.mayReceive(now, request) || slices.Contains(request.Exclude, m.ID) {
 			continue
 		}
 		if best == nil || m.health.pausedUntil < best.health.pausedUntil {
--- a/placement/stats.go
+++ b/placement/stats.go
@@ -6,6 +6,8 @@
 type Stats struct {
 	// Engines is the number of all engines; Draining and Paused count those that get no new requests.
 	Engines, Draining, Paused int
+	// Limited counts the engines with a rate limit.
+	Limited int
 	// OwnRequests is the number of requests that this instance runs, AllRequests the estimated number
 	// that all instances run.
 	OwnRequests, AllRequests int
@@ -21,6 +23,9 @@
 	for _, m := range p.memberList {
 		s.OwnRequests += m.ownRequests
 		s.AllRequests += p.load(now, m)
+		if m.limited() {
+			s.Limited++
+		}
 		if m.Draining {
 			s.Draining++
 			continue
