placement: prompts queue at their next engine while others have rate limits

When the next engine in a prompt's order was full, the request went on to a third or fourth one, so each engine without a limit read prompts of all others and lost its own: the share of first choices fell from 91% to below 1% within ten seconds, tokens read again were 14.5 M. A request now queues at the first engine in its order that has less than twice its slots.

--- a/placement/limits.go
+++ b/placement/limits.go
@@ -61,11 +61,13 @@
 
 // queueShare bounds the load of engines without a rate limit while others have one, as a share of their
 // slots. They can't take all that the others don't, and longer queues would make every request late.
-const queueShare = 1.25
+const queueShare = 2.0
 
 // limitedPasses applies while engines of the pool have rate limits. These are used for the prompts that
-// they keep, and for any prompt only when the other engines are full or above the load bound.
-var limitedPasses = []rankedPass{{slotShare: 1}, {slotShare: 1, anyLimited: true}}
+// they keep, and for any prompt only when the other engines are above a bound. A request rather queues at
+// the first of the others in its order than go to one with a free slot: these engines hold the prompts of
+// several others, and if each was read by many, their caches would lose them and every request be read.
+var limitedPasses = []rankedPass{{slotShare: queueShare}, {slotShare: queueShare, anyLimited: true}}
 
 // hasLimits reports whether an engine of the pool has a rate limit.
 func (p *Pool) hasLimits() bool {
