internal/upstream, internal/gateway: bytes without end from an engine are cut off

An engine in trouble may send bytes without end in a head or a body. The head of a response was read without a bound into memory, 64 MB in 0.7 s in the test, until the request's deadline; a failure's body was passed on to the caller as it came, and so a repeatable request was not repeated. Cause: net/http bounds the heads that servers read, not those that ReadResponse does.

A head now ends at 64 KiB. A failure of more than 64 KiB counts as broken, so that a repeatable request goes to another engine and no caller gets a part of it. A response without a length ends at 64 MiB, an event at 256 KiB instead of 1 MiB, since an instance may hold one of each open stream. The rest of a rejection is read for 100 ms at most: it decides nothing, and was read up to the request's deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,6 +21,11 @@
 	maxHeldBytes = 64 << 10
 	// copyBufferBytes is the size of the buffer for a response that is forwarded as it arrives.
 	copyBufferBytes = 4 << 10
+	// maxUnsizedBytes bounds a response that does not state its length: a faulty engine may send without
+	// end.
+	maxUnsizedBytes = 64 << 20
+	// rejectionTimeout bounds the time to read the body of a rejection, which decides nothing.
+	rejectionTimeout = 100 * time.Millisecond
 	// callerWriteTimeout bounds each write to a caller, which blocks if the caller does not read.
 	callerWriteTimeout = 5 * time.Second
 )
@@ -28,6 +33,9 @@
 var (
 	// errUnsigned reports a success status without the signature by which the engine confirms it.
 	errUnsigned = errors.New("response has a success status but no signature")
+	// errLargeFailure and errLargeBody report a body that is longer than an engine's response can be.
+	errLargeFailure = errors.New("failure response exceeds 64 KiB")
+	errLargeBody    = errors.New("response without a length exceeds 64 MiB")
 	// errNotResumed reports a status of 300 or above in response to an attempt that resumes a stream.
 	errNotResumed = errors.New("engine did not resume the stream")
 )
@@ -185,6 +193,7 @@
 // endRejected reads the rest of a rejection and ends the attempt, which the engine did not run.
 func (a *attempt) endRejected() {
 	// The connection is reused only if the rejection ends cleanly.
+	a.exchange.SetReadTimeout(rejectionTimeout)
 	if _, err := io.Copy(io.Discard, io.LimitReader(a.exchange, maxHeldBytes)); err != nil {
 		a.exchange.Abort()
 	} else {
@@ -204,7 +213,11 @@
 		return
 	}
 	held := &heldResponse{status: a.exchange.Response.StatusCode, header: a.exchange.Response.Header, body: body}
-	if len(body) > maxHeldBytes {
+	switch {
+	case len(body) > maxHeldBytes && held.status >= 300:
+		a.fail(router.Broken, errLargeFailure)
+		return
+	case len(body) > maxHeldBytes:
 		a.forwardLarge(held)
 		return
 	}
@@ -227,8 +240,13 @@
 		return
 	}
 	buffer := make([]byte, copyBufferBytes)
-	for {
+	unsized := a.exchange.Response.ContentLength < 0
+	for total := len(held.body); ; {
 		n, err := a.exchange.Read(buffer)
+		if total += n; unsized && total > maxUnsizedBytes {
+			a.fail(router.Broken, errLargeBody)
+			return
+		}
 		if n > 0 && !a.forwardPart(buffer[:n]) {
 			return
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,12 +9,13 @@
 	"github.com/bilberrywell/bilberrywell/internal/router"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, which holds a few tokens. An instance may hold one of each
+// open stream in memory.
+const maxEventBytes = 256 << 10
 
 var (
 	errTruncatedEvent = errors.New("the stream ended inside an event")
-	errLargeEvent     = errors.New("stream event exceeds 1 MiB")
+	errLargeEvent     = errors.New("stream event exceeds 256 KiB")
 	errNoEvent        = errors.New("the connection ended before the first event")
 )
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -143,7 +143,7 @@
 	methodRequest := &http.Request{Method: req.Method}
 	interim, foreign := 0, 0
 	for {
-		res, err := http.ReadResponse(x.conn.reader, methodRequest)
+		res, err := x.conn.readResponse(methodRequest)
 		if err != nil {
 			return err
 		}
@@ -166,6 +166,13 @@
 	}
 }
 
+// readResponse reads the head of a response.
+func (c *Conn) readResponse(req *http.Request) (*http.Response, error) {
+	c.head.limited, c.head.remaining = true, maxHeadBytes
+	defer func() { c.head.limited = false }()
+	return http.ReadResponse(c.reader, req)
+}
+
 // Read reads the response's body. It returns io.EOF only at the end of a complete body.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
@@ -181,6 +188,11 @@
 	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
 }
 
+// SetReadTimeout bounds the time until the rest of the response has been read.
+func (x *Exchange) SetReadTimeout(d time.Duration) {
+	_ = x.conn.netConn.SetReadDeadline(time.Now().Add(d))
+}
+
 // Finish ends an exchange. The connection is kept if the response was read to its end, the request was
 // written completely, and the engine keeps the connection open too. Finish does not wait for a request
 // that is still being written.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -22,6 +23,8 @@
 const (
 	// readBufferBytes is enough for the header of a response and a few events of a stream.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// defaultIdleLifetime is how long an idle connection is kept if the engine sends no Keep-Alive timeout.
 	// Engines close idle connections after a time that not all of them send.
 	defaultIdleLifetime = time.Second
@@ -78,7 +81,9 @@
 type Conn struct {
 	addr    string
 	netConn net.Conn
-	reader  *bufio.Reader
+	// head bounds the bytes that reader reads while it reads the head of a response.
+	head   *headLimit
+	reader *bufio.Reader
 	// expires is when the engine may close the idle connection, idleLifetime the time until then from
 	// the end of an exchange.
 	expires      time.Time
@@ -108,9 +113,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{addr: addr, netConn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), idleLifetime: defaultIdleLifetime}, nil
+	head := &headLimit{source: conn}
+	return &Conn{addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleLifetime: defaultIdleLifetime}, nil
 }
 
+// headLimit reads from a connection. While limited is set, it fails once remaining bytes were read.
+type headLimit struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, errLargeHead
+	}
+	n, err := l.source.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+var errLargeHead = errors.New("the head of the response exceeds 64 KiB")
+
 // take removes the idle connection to an address that was added last and returns it, or nil without one.
 func (p *Pool) take(addr string) *Conn {
 	p.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -240,3 +240,42 @@
 	_, err = p.Do(ctx, conn, &upstream.Request{Method: "GET", Target: "/", Header: http.Header{}}, nil)
 	require.True(t, errors.Is(err, upstream.ErrUnsent) && !errors.Is(err, upstream.ErrBroken))
 }
+
+// Guards against a head without end that fills the memory: a line, many lines, or many heads.
+func TestEndlessHead(t *testing.T) {
+	// The kernel takes some megabytes from the engine that never reach this process.
+	const maxTaken = 8 << 20
+	for name, endless := range map[string]string{
+		"status line": "HTTP/1.1 200 " + strings.Repeat("a", 1000),
+		"header line": strings.Repeat("a", 1000),
+		"headers":     "Name: " + strings.Repeat("a", 1000) + "\r\n",
+		"interim":     "Name: v\r\n\r\nHTTP/1.1 100 Continue\r\n",
+		"foreign":     "Id: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
+				total := 0
+				defer func() { written <- total }()
+				if !readRequest(r) {
+					return
+				}
+				text := "HTTP/1.1 200 OK\r\nName: "
+				if name == "status line" {
+					text = ""
+				}
+				for total < 64<<20 {
+					n, err := io.WriteString(conn, text)
+					total += n
+					if err != nil {
+						return
+					}
+					text = endless
+				}
+			})
+			_, err := exchange(t, upstream.NewPool(nil), addr, 3)
+			require.ErrorIs(t, err, upstream.ErrBroken)
+			require.Less(t, <-written, maxTaken)
+		})
+	}
+}
