placement, internal/router: names of the requests for an engine's tokens, bounds without slots

Reading the change: messages and functions around the owner of a limit were named admission, which the daemons use for homes; they are engine tokens now. An engine without known slots had no room in a pool with limits. A limit that had ended was logged as expired 30 s later.

--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -21,7 +21,7 @@
 	switch kind {
 	case wire.KindAdmit, wire.KindAdmitReply, wire.KindRelease,
 		wire.KindRegister, wire.KindRegisterDone, wire.KindRegisterRequest, wire.KindRateRequest, wire.KindRateGrant, wire.KindChatPlacement,
-		wire.KindAdmissionRequest, wire.KindAdmissionReply:
+		wire.KindEngineTokenRequest, wire.KindEngineTokenReply:
 		return classAdmission
 	case wire.KindClaimRequest, wire.KindClaimReply, wire.KindClaimFinish:
 		return classClaims
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -177,7 +177,7 @@
 	}
 	request := placement.Request{
 		DataCentre:          r.cfg.DataCentre,
-		Exclude:             append(slices.Clone(c.deniedEngines), c.triedEngines...),
+		Exclude:             slices.Concat(c.triedEngines, c.deniedEngines),
 		AvoidAsking:         c.asks >= maxAsks,
 		AvoidRecentlyPaused: !c.route.Repeatable(),
 	}
@@ -198,7 +198,7 @@
 		return
 	}
 	if choice.Owner != "" {
-		r.askAdmission(c, choice)
+		r.askToken(c, choice)
 		return
 	}
 	r.send(c, pool, choice)
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
@@ -29,8 +30,7 @@
 
 // rate returns the requests a second.
 func (m *demandMeter) rate(now time.Duration) float64 {
-	const ln2 = 0.693
-	return m.decayed(now) * ln2 / demandHalfLife.Seconds()
+	return m.decayed(now) * math.Ln2 / demandHalfLife.Seconds()
 }
 
 // demandByService holds the demand of each instance for each service, as far as it is known.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -134,10 +134,10 @@
 		r.crashEvidenceReceived(ev.From, m)
 	case *wire.EngineLimits:
 		r.rateLimitsReceived(ev.From, m)
-	case *wire.AdmissionRequest:
-		r.admissionRequested(ev.From, m)
-	case *wire.AdmissionReply:
-		r.admissionReplied(m)
+	case *wire.EngineTokenRequest:
+		r.tokenRequested(ev.From, m)
+	case *wire.EngineTokenReply:
+		r.tokenReplied(m)
 	}
 }
 
--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -126,7 +126,7 @@
 		switch e := e.(type) {
 		case SendMessage:
 			switch e.Message.Kind() {
-			case wire.KindStrike, wire.KindCrashEvidence, wire.KindEngineLimits, wire.KindAdmissionRequest, wire.KindAdmissionReply:
+			case wire.KindStrike, wire.KindCrashEvidence, wire.KindEngineLimits, wire.KindEngineTokenRequest, wire.KindEngineTokenReply:
 				f.pending = append(f.pending, delivery{id, e.To, e.Message})
 				data, err := wire.Append(nil, e.Message)
 				require.NoError(f.t, err)
@@ -169,7 +169,7 @@
 				s.r.effects = s.r.effects[:0]
 				s.r.tickPoison()
 				s.r.tickRateLimits()
-				s.r.tickAdmissions()
+				s.r.tickTokens()
 				f.stepEffects(id, s)
 			}
 		}
--- a/internal/router/ratelimits_test.go
+++ b/internal/router/ratelimits_test.go
@@ -145,7 +145,7 @@
 	began := f.now
 	traffic(2 * time.Second)
 	for _, s := range f.members {
-		for _, p := range s.r.admissions.pending {
+		for _, p := range s.r.tokens.pending {
 			require.Less(t, f.now-p.askedAt, askTimeout+50*time.Millisecond)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,12 +90,12 @@
 	store          storeState
 	// expelled holds, for each engine that was removed because its address belongs to another engine,
 	// when it is readmitted if it is still registered.
-	expelled   map[fleet.EngineID]time.Duration
-	limits     rateLimitState
-	admissions admissionState
-	relays     relayState
-	drain      drainState
-	ready      bool
+	expelled map[fleet.EngineID]time.Duration
+	limits   rateLimitState
+	tokens   tokenState
+	relays   relayState
+	drain    drainState
+	ready    bool
 }
 
 // servicePool holds the engines of a service and the retry budget for them.
@@ -122,7 +122,7 @@
 	r.replica = replica.New(r.contentHash)
 	r.poison.init(fleet.Hash("instance", string(cfg.Instance)))
 	r.members.init()
-	r.admissions.init()
+	r.tokens.init()
 	r.relays.init()
 	r.rebuildGrid()
 	return r
@@ -181,7 +181,7 @@
 	r.tickAwaitingCalls()
 	r.tickPoison()
 	r.tickRateLimits()
-	r.tickAdmissions()
+	r.tickTokens()
 	r.tickDrain()
 }
 
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -82,10 +82,10 @@
 func (*EngineLimits) Kind() Kind { return KindEngineLimits }
 
 // Kind implements Message.
-func (*AdmissionReply) Kind() Kind { return KindAdmissionReply }
+func (*EngineTokenReply) Kind() Kind { return KindEngineTokenReply }
 
 // Kind implements Message.
-func (*AdmissionRequest) Kind() Kind { return KindAdmissionRequest }
+func (*EngineTokenRequest) Kind() Kind { return KindEngineTokenRequest }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
@@ -144,10 +144,10 @@
 		return &CrashEvidence{}
 	case KindEngineLimits:
 		return &EngineLimits{}
-	case KindAdmissionReply:
-		return &AdmissionReply{}
-	case KindAdmissionRequest:
-		return &AdmissionRequest{}
+	case KindEngineTokenReply:
+		return &EngineTokenReply{}
+	case KindEngineTokenRequest:
+		return &EngineTokenRequest{}
 	}
 	return nil
 }
@@ -210,10 +210,10 @@
 		return "crash_evidence"
 	case KindEngineLimits:
 		return "engine_limits"
-	case KindAdmissionReply:
-		return "admission_reply"
-	case KindAdmissionRequest:
-		return "admission_request"
+	case KindEngineTokenReply:
+		return "engine_token_reply"
+	case KindEngineTokenRequest:
+		return "engine_token_request"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -12,35 +12,35 @@
 
 // Message kinds. 14 and 20 are reserved.
 const (
-	KindHello            Kind = 1
-	KindHeartbeat        Kind = 2
-	KindAdmit            Kind = 3
-	KindAdmitReply       Kind = 4
-	KindRelease          Kind = 5
-	KindRegister         Kind = 6
-	KindRegisterDone     Kind = 7
-	KindRateRequest      Kind = 8
-	KindRateGrant        Kind = 9
-	KindClaimRequest     Kind = 10
-	KindClaimReply       Kind = 11
-	KindClaimFinish      Kind = 12
-	KindStrike           Kind = 13
-	KindConfigRequest    Kind = 15
-	KindConfigManifest   Kind = 16
-	KindBlobRequest      Kind = 17
-	KindBlob             Kind = 18
-	KindEngineState      Kind = 19
-	KindStamp            Kind = 21
-	KindChatPlacement    Kind = 22
-	KindRegisterRequest  Kind = 23
-	KindStatusReport     Kind = 24
-	KindStoreFacts       Kind = 25
-	KindFactsRequest     Kind = 26
-	KindLoads            Kind = 27
-	KindCrashEvidence    Kind = 28
-	KindEngineLimits     Kind = 29
-	KindAdmissionRequest Kind = 30
-	KindAdmissionReply   Kind = 31
+	KindHello              Kind = 1
+	KindHeartbeat          Kind = 2
+	KindAdmit              Kind = 3
+	KindAdmitReply         Kind = 4
+	KindRelease            Kind = 5
+	KindRegister           Kind = 6
+	KindRegisterDone       Kind = 7
+	KindRateRequest        Kind = 8
+	KindRateGrant          Kind = 9
+	KindClaimRequest       Kind = 10
+	KindClaimReply         Kind = 11
+	KindClaimFinish        Kind = 12
+	KindStrike             Kind = 13
+	KindConfigRequest      Kind = 15
+	KindConfigManifest     Kind = 16
+	KindBlobRequest        Kind = 17
+	KindBlob               Kind = 18
+	KindEngineState        Kind = 19
+	KindStamp              Kind = 21
+	KindChatPlacement      Kind = 22
+	KindRegisterRequest    Kind = 23
+	KindStatusReport       Kind = 24
+	KindStoreFacts         Kind = 25
+	KindFactsRequest       Kind = 26
+	KindLoads              Kind = 27
+	KindCrashEvidence      Kind = 28
+	KindEngineLimits       Kind = 29
+	KindEngineTokenRequest Kind = 30
+	KindEngineTokenReply   Kind = 31
 )
 
 // Hello is the first message on a link, in both directions.
@@ -377,9 +377,9 @@
 	MilliRate int64
 }
 
-// AdmissionRequest asks the owner of an engine's rate limit whether the sender may send the engine a
+// EngineTokenRequest asks the owner of an engine's rate limit whether the sender may send the engine a
 // request.
-type AdmissionRequest struct {
+type EngineTokenRequest struct {
 	// ID is repeated in the reply.
 	ID     uint64         `cbor:"1,keyasint"`
 	Engine fleet.EngineID `cbor:"2,keyasint"`
@@ -389,8 +389,8 @@
 	FirstChoice bool   `cbor:"4,keyasint,omitempty"`
 }
 
-// AdmissionReply answers AdmissionRequest.
-type AdmissionReply struct {
+// EngineTokenReply answers EngineTokenRequest.
+type EngineTokenReply struct {
 	ID       uint64 `cbor:"1,keyasint"`
 	Admitted bool   `cbor:"2,keyasint,omitempty"`
 	// RetryAfterMs is the time until the engine accepts another request of any prompt. It is 0 if only this
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -29,9 +29,9 @@
 	Owner fleet.InstanceID
 }
 
-// rateBound is the state of a RateBound. An engine with a rate limit can
-// serve only some of the prompts that have it first in their order. Always the same prompts are kept there
-// and the others go to later engines, so that neither alternate between engines that must read them.
+// rateBound is the state of a RateBound. An engine with a rate limit can serve only some of the prompts that
+// have it first in their order. Always the same prompts are kept there and the others go to later engines,
+// so that neither alternate between engines that must read them.
 type rateBound struct {
 	RateBound
 	tokens *ratelimit.Bucket
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -78,7 +78,8 @@
 	Key uint64
 	// DataCentre is that of the instance which received the request.
 	DataCentre fleet.DataCentre
-	// Exclude lists engines that the request was already sent to.
+	// Exclude lists engines that the request was already sent to, and those for which the owner of the rate
+	// limit did not admit it.
 	Exclude []fleet.EngineID
 	// AvoidRecentlyPaused avoids engines that have not succeeded since their last pause. It is set
 	// for requests that can't be sent twice.
@@ -274,7 +275,8 @@
 	}
 	c, ok := p.chooseLeastLoaded(now, request, mean)
 	if limited && request.Key != 0 {
-		return c, ok && float64(c.Load) < queueShare*float64(c.Engine.Slots)
+		// Engines whose queue is long, or that are paused, can't take what the limits leave.
+		return c, ok && c.Engine.admitsLoad(c.Load, queueShare)
 	}
 	if ok {
 		return c, true
@@ -321,6 +323,11 @@
 	return !m.Draining && m.health.admits(now, request.AvoidRecentlyPaused) && !slices.Contains(request.Exclude, m.ID)
 }
 
+// admitsLoad reports whether a load is below a share of the engine's slots.
+func (e Engine) admitsLoad(load int, slotShare float64) bool {
+	return e.Slots <= 0 || float64(load) < slotShare*float64(e.Slots)
+}
+
 // rankedPass tells which engines chooseRanked leaves out.
 type rankedPass struct {
 	// slotShare is the load from which an engine is left out, as a share of its slots. Infinity admits
@@ -342,7 +349,7 @@
 		m := p.rankedMember(request.Key, i)
 		load := p.load(now, m)
 		switch {
-		case !p.usable(now, m, request), load >= bound, m.Slots > 0 && float64(load) >= pass.slotShare*float64(m.Slots):
+		case !p.usable(now, m, request), load >= bound, !m.admitsLoad(load, pass.slotShare):
 			continue
 		case m.limited() && !pass.anyLimited && !p.keptAt(now, m, request):
 			continue
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -185,12 +185,16 @@
 // Forget removes the limit of an engine that has left.
 func (b *Book) Forget(id fleet.EngineID) { delete(b.entries, id) }
 
-// Expire removes limits that have not been confirmed for long and returns their engines.
+// Expire removes what has not been confirmed for long. It returns the engines that had a limit.
 func (b *Book) Expire(now time.Duration) []fleet.EngineID {
 	var expired []fleet.EngineID
 	for _, id := range b.Engines() {
-		if now-b.entries[id].observedAt >= lifetime {
-			delete(b.entries, id)
+		e := b.entries[id]
+		if now-e.observedAt < lifetime {
+			continue
+		}
+		delete(b.entries, id)
+		if e.rate >= 0 {
 			expired = append(expired, id)
 		}
 	}
