--- a/crashcause/crashcause.go
+++ b/crashcause/crashcause.go
@@ -57,8 +57,8 @@
 	Remaining time.Duration
 }
 
-// Clearance states that the quarantine of a trait has ended because a request with it was answered.
-type Clearance struct {
+// LiftedQuarantine states that the quarantine of a trait has ended because a request with it was answered.
+type LiftedQuarantine struct {
 	Trait fleet.Fingerprint
 	// Own reports whether it was a request of this instance, so that other instances don't know yet.
 	Own bool
@@ -137,9 +137,9 @@
 	// with the time of the first crash that counts. announceAt holds when this instance announces its own
 	// answer to such a trait.
 	doubtful, announceAt map[fleet.Fingerprint]time.Duration
-	// convicted and cleared hold what happened since the last calls of Convicted and Cleared.
-	convicted []fleet.Fingerprint
-	cleared   []Clearance
+	// newlyQuarantined and lifted hold what happened since the last calls of NewQuarantines and Lifted.
+	newlyQuarantined []fleet.Fingerprint
+	lifted           []LiftedQuarantine
 }
 
 // New returns a detector without evidence.
@@ -213,7 +213,7 @@
 func (d *Detector) Answered(now time.Duration, r Request, sentAt time.Duration) {
 	for _, trait := range r.traits() {
 		d.answers.own(now, trait, sentAt)
-		d.clear(trait, sentAt, true)
+		d.lift(trait, sentAt, true)
 	}
 }
 
@@ -223,25 +223,25 @@
 		if a.Age < d.config.Memory {
 			sentAt := now - max(a.Age, 0)
 			d.answers.others(now, a.Trait, sentAt)
-			d.clear(a.Trait, sentAt, false)
+			d.lift(a.Trait, sentAt, false)
 		}
 	}
 	d.markChanged(now)
 }
 
-// clear ends the quarantine of a trait with which a request was answered that was sent after its crashes
+// lift ends the quarantine of a trait with which a request was answered that was sent after its crashes
 // began.
-func (d *Detector) clear(trait fleet.Fingerprint, sentAt time.Duration, own bool) {
+func (d *Detector) lift(trait fleet.Fingerprint, sentAt time.Duration, own bool) {
 	if known, ok := d.refusals[trait]; ok && sentAt >= known.since {
 		delete(d.refusals, trait)
-		d.cleared = append(d.cleared, Clearance{trait, own})
+		d.lifted = append(d.lifted, LiftedQuarantine{trait, own})
 	}
 }
 
-// Cleared returns the quarantines that have ended since the last call because of an answer.
-func (d *Detector) Cleared() []Clearance {
-	list := d.cleared
-	d.cleared = nil
+// Lifted returns the quarantines that have ended since the last call because of an answer.
+func (d *Detector) Lifted() []LiftedQuarantine {
+	list := d.lifted
+	d.lifted = nil
 	return list
 }
 
@@ -294,10 +294,10 @@
 	return list
 }
 
-// Convicted returns the traits that were quarantined since the last call because of crashes.
-func (d *Detector) Convicted() []fleet.Fingerprint {
-	list := d.convicted
-	d.convicted = nil
+// NewQuarantines returns the traits that were quarantined since the last call because of crashes.
+func (d *Detector) NewQuarantines() []fleet.Fingerprint {
+	list := d.newlyQuarantined
+	d.newlyQuarantined = nil
 	return list
 }
 
--- a/crashcause/crashcause_test.go
+++ b/crashcause/crashcause_test.go
@@ -150,7 +150,7 @@
 // again while the cause lasts.
 func TestRefusalEnds(t *testing.T) {
 	s := newScene(t)
-	convict := func() {
+	quarantine := func() {
 		for range 3 {
 			s.crash(s.request(class, bad))
 			s.answer(s.request(class))
@@ -158,8 +158,8 @@
 		}
 		require.True(t, s.refused(bad))
 	}
-	convict()
-	require.Equal(t, []fleet.Fingerprint{bad}, s.d.Convicted())
+	quarantine()
+	require.Equal(t, []fleet.Fingerprint{bad}, s.d.NewQuarantines())
 	s.advance(2 * time.Minute)
 	require.False(t, s.refused(bad))
 	s.crash(s.request(class, bad))
@@ -168,7 +168,7 @@
 	require.True(t, s.refused(bad))
 	s.advance(2 * time.Minute)
 	s.answer(s.request(bad))
-	require.Equal(t, []crashcause.Clearance{{Trait: bad, Own: true}}, s.d.Cleared())
+	require.Equal(t, []crashcause.LiftedQuarantine{{Trait: bad, Own: true}}, s.d.Lifted())
 	s.crash(s.request(bad))
 	s.advance(second)
 	require.False(t, s.refused(bad), "it was answered")
--- a/crashcause/evaluate.go
+++ b/crashcause/evaluate.go
@@ -106,14 +106,14 @@
 	d.evaluatedAt = now
 	// Until it has settled, the evidence has to be evaluated once more.
 	d.unevaluated = now-d.changedAt < d.config.AnsweredSettle
-	for d.convictNext(now) {
+	for d.quarantineNext(now) {
 	}
 	d.findDoubtful()
 }
 
-// convictNext quarantines the parts, or otherwise the requests, against which there is the most evidence,
+// quarantineNext quarantines the parts, or otherwise the requests, against which there is the most evidence,
 // if it is enough. It returns false if there are none.
-func (d *Detector) convictNext(now time.Duration) bool {
+func (d *Detector) quarantineNext(now time.Duration) bool {
 	var parts, requests []*tally
 	for _, t := range d.tallies(func(c *crash, a answer) bool { return d.settled(now, c, a) }) {
 		switch {
@@ -124,15 +124,15 @@
 			parts = append(parts, t)
 		}
 	}
-	guilty := d.mostSuspicious(parts)
-	if len(guilty) == 0 {
-		guilty = requests
+	causes := d.likeliestCauses(parts)
+	if len(causes) == 0 {
+		causes = requests
 	}
-	for _, t := range guilty {
-		d.convicted = append(d.convicted, t.trait)
+	for _, t := range causes {
+		d.newlyQuarantined = append(d.newlyQuarantined, t.trait)
 		d.refusals[t.trait] = refusal{until: now + d.config.Duration, since: t.first}
 	}
-	return len(guilty) > 0
+	return len(causes) > 0
 }
 
 // settled reports whether a crash counts against a trait with the given answers.
@@ -144,10 +144,10 @@
 	return now-c.at >= age && a.latest() < c.at
 }
 
-// mostSuspicious returns the part with the most evidence, where parts that were never answered come
+// likeliestCauses returns the part with the most evidence, where parts that were never answered come
 // first. Parts with equal evidence are returned together, but only after further crashes did not tell
 // them apart.
-func (d *Detector) mostSuspicious(parts []*tally) []*tally {
+func (d *Detector) likeliestCauses(parts []*tally) []*tally {
 	if len(parts) == 0 {
 		return nil
 	}
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -92,7 +92,7 @@
 // reportedDemand returns this instance's demand for services that have an engine with a rate limit.
 func (r *Router) reportedDemand() []wire.ServiceDemand {
 	services := make(map[fleet.ServiceID]bool)
-	for _, id := range r.limits.book.Engines() {
+	for _, id := range r.limits.tracker.Engines() {
 		engine, _ := r.registry.Get(id)
 		services[engine.Service] = true
 	}
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -141,14 +141,14 @@
 	if answers := d.AnswersToAnnounce(r.now); len(answers) > 0 {
 		r.broadcast(&wire.CrashEvidence{Answered: answerAges(answers)})
 	}
-	r.endQuarantines(d.Cleared())
-	convicted := d.Convicted()
-	for _, trait := range convicted {
+	r.endQuarantines(d.Lifted())
+	quarantined := d.NewQuarantines()
+	for _, trait := range quarantined {
 		r.emit(Decision{Kind: "quarantined", Fields: []any{"trait", hexHash(trait), "source", "crashes"}})
 	}
 	// Instances quarantine by themselves; those that read the store also tell the others, some of which
 	// may lack a part of the evidence.
-	if len(convicted) > 0 && r.store.watching {
+	if len(quarantined) > 0 && r.store.watching {
 		r.broadcast(&wire.CrashEvidence{Quarantined: remainingTimes(d.Quarantines(r.now))})
 	}
 	r.storeQuarantines()
--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -62,9 +62,9 @@
 	require.True(t, s.answer(classPart, subjectPart), "harmless requests share the caller and the other parts")
 }
 
-// beliefFleet holds routers that are linked to each other without the cost of opening each link. Status
+// messageFleet holds routers that are linked to each other without the cost of opening each link. Status
 // reports are not delivered.
-type beliefFleet struct {
+type messageFleet struct {
 	t       *testing.T
 	ids     []fleet.InstanceID
 	members map[fleet.InstanceID]*session
@@ -83,8 +83,8 @@
 	message  wire.Message
 }
 
-func newBeliefFleet(t *testing.T, n, engines int) *beliefFleet {
-	f := &beliefFleet{t: t, members: map[fleet.InstanceID]*session{}, stored: map[string][]byte{}, bytes: map[fleet.InstanceID]int{}}
+func newMessageFleet(t *testing.T, n, engines int) *messageFleet {
+	f := &messageFleet{t: t, members: map[fleet.InstanceID]*session{}, stored: map[string][]byte{}, bytes: map[fleet.InstanceID]int{}}
 	for i := range n {
 		f.ids = append(f.ids, fleet.InstanceID(fmt.Sprintf("i%03d", i)))
 	}
@@ -97,7 +97,7 @@
 	return f
 }
 
-func (f *beliefFleet) add(id fleet.InstanceID, engines int) {
+func (f *messageFleet) add(id fleet.InstanceID, engines int) {
 	s := newNamedSession(f.t, id, engines)
 	s.now = f.now
 	// Requests of different instances differ, and so do their engines.
@@ -112,13 +112,13 @@
 }
 
 // arrive passes a caller's request to an instance.
-func (f *beliefFleet) arrive(id fleet.InstanceID) {
+func (f *messageFleet) arrive(id fleet.InstanceID) {
 	s := f.members[id]
 	s.last++
 	f.step(id, CallArrived{Call: Call{ID: s.last, Host: "h", Path: "/chat/x", Prompt: fleet.ChatKey(s.last), Fingerprint: fleet.Fingerprint(s.last), Arrived: f.now}})
 }
 
-func (f *beliefFleet) step(id fleet.InstanceID, ev Event) []Effect {
+func (f *messageFleet) step(id fleet.InstanceID, ev Event) []Effect {
 	s := f.members[id]
 	s.now = f.now
 	effects := s.step(ev)
@@ -144,7 +144,7 @@
 }
 
 // deliver passes on all messages, which take one millisecond each.
-func (f *beliefFleet) deliver() {
+func (f *messageFleet) deliver() {
 	for len(f.pending) > 0 {
 		f.now += time.Millisecond
 		arriving := f.pending
@@ -158,7 +158,7 @@
 }
 
 // run passes time in steps of 50 ms.
-func (f *beliefFleet) run(d time.Duration) {
+func (f *messageFleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; {
 		f.deliver()
 		f.now += 50 * time.Millisecond
@@ -177,7 +177,7 @@
 }
 
 // stepEffects handles the effects that a direct call of the router has left.
-func (f *beliefFleet) stepEffects(id fleet.InstanceID, s *session) {
+func (f *messageFleet) stepEffects(id fleet.InstanceID, s *session) {
 	for _, e := range s.r.effects {
 		switch e := e.(type) {
 		case SendToMany:
@@ -195,7 +195,7 @@
 
 // crashWith lets an engine crash under a request with parts that an instance received. It returns false
 // if the instance refuses the request.
-func (f *beliefFleet) crashWith(id fleet.InstanceID, parts ...fleet.Fingerprint) bool {
+func (f *messageFleet) crashWith(id fleet.InstanceID, parts ...fleet.Fingerprint) bool {
 	s := f.members[id]
 	s.now = f.now
 	send, sent := s.ask(parts...)
@@ -207,7 +207,7 @@
 	return true
 }
 
-func (f *beliefFleet) refusedAt(id fleet.InstanceID, parts ...fleet.Fingerprint) bool {
+func (f *messageFleet) refusedAt(id fleet.InstanceID, parts ...fleet.Fingerprint) bool {
 	s := f.members[id]
 	s.now = f.now
 	_, sent := s.ask(parts...)
@@ -217,7 +217,7 @@
 // Guards against a large fleet in which some instances learn only after more than a second that a prompt
 // part crashes engines, or that spends its links on telling them.
 func TestQuarantineReaches490InstancesInASecond(t *testing.T) {
-	f := newBeliefFleet(t, 490, 8)
+	f := newMessageFleet(t, 490, 8)
 	for i, id := range f.ids {
 		if i%10 == 0 {
 			f.members[id].answer(classPart, subjectPart)
@@ -243,7 +243,7 @@
 // Guards against an instance that forgets what crashes engines when it restarts, with peers that know it
 // or with the store alone.
 func TestQuarantineSurvivesRestarts(t *testing.T) {
-	f := newBeliefFleet(t, 5, 64)
+	f := newMessageFleet(t, 5, 64)
 	f.members["i000"].answer(classPart)
 	for range 3 {
 		require.True(t, f.crashWith("i003", classPart, badPart))
@@ -271,7 +271,7 @@
 
 // Guards against evidence that is lost with the instance that collected it, and with the store.
 func TestCrashesCountWhenInstancesAndTheStoreAreLost(t *testing.T) {
-	f := newBeliefFleet(t, 6, 64)
+	f := newMessageFleet(t, 6, 64)
 	for _, id := range f.ids {
 		f.step(id, StoreLost{})
 	}
@@ -293,7 +293,7 @@
 // Guards against a new instance that refuses a harmless part, because it knows the crashes but not the
 // answers.
 func TestNewInstanceLearnsAnswersToo(t *testing.T) {
-	f := newBeliefFleet(t, 3, 64)
+	f := newMessageFleet(t, 3, 64)
 	f.members["i001"].answer(subjectPart)
 	for range 2 {
 		f.crashWith("i000", classPart, subjectPart, badPart)
--- a/internal/router/quarantines.go
+++ b/internal/router/quarantines.go
@@ -67,9 +67,9 @@
 
 // endQuarantines tells peers and the store that traits are harmless, since a request with them was
 // answered after all.
-func (r *Router) endQuarantines(cleared []crashcause.Clearance) {
+func (r *Router) endQuarantines(lifted []crashcause.LiftedQuarantine) {
 	var own []fleet.Fingerprint
-	for _, c := range cleared {
+	for _, c := range lifted {
 		r.emit(Decision{Kind: "quarantine_lifted", Fields: []any{"trait", hexHash(c.Trait), "own", c.Own}})
 		delete(r.poison.storing.nextTry, c.Trait)
 		if c.Own {
--- a/internal/router/ratelimits.go
+++ b/internal/router/ratelimits.go
@@ -18,7 +18,7 @@
 
 // rateLimitState holds the rate limits of engines and when this instance's shares are computed again.
 type rateLimitState struct {
-	book                *ratelimit.Book
+	tracker             *ratelimit.Tracker
 	nextShare, nextRamp time.Duration
 }
 
@@ -33,7 +33,7 @@
 	if report.RateLimit != nil {
 		limit.Rate = *report.RateLimit
 	}
-	changed, announce := r.limits.book.Observe(r.now, limit)
+	changed, announce := r.limits.tracker.Observe(r.now, limit)
 	if announce {
 		r.broadcast(&wire.EngineLimits{Limits: []wire.EngineLimit{wireLimit(limit)}})
 	}
@@ -59,7 +59,7 @@
 	if pool == nil {
 		return
 	}
-	bound, bounded := r.limits.book.Bound(r.now, id, uint64(engine.StartedAtMillis))
+	bound, bounded := r.limits.tracker.Bound(r.now, id, uint64(engine.StartedAtMillis))
 	if !bounded {
 		pool.engines.ClearRate(id)
 		return
@@ -84,16 +84,16 @@
 func (r *Router) tickRateLimits() {
 	if r.now >= r.limits.nextRamp {
 		r.limits.nextRamp = r.now + rampInterval
-		r.applyRateLimits(r.limits.book.Ramping(r.now))
+		r.applyRateLimits(r.limits.tracker.Ramping(r.now))
 	}
 	if r.now < r.limits.nextShare {
 		return
 	}
 	r.limits.nextShare = r.now + shareInterval
-	for _, id := range r.limits.book.Expire(r.now) {
+	for _, id := range r.limits.tracker.Expire(r.now) {
 		r.rateLimitChanged(ratelimit.Limit{Engine: id, Rate: -1}, "expiry")
 	}
-	r.applyRateLimits(r.limits.book.Engines())
+	r.applyRateLimits(r.limits.tracker.Engines())
 }
 
 func (r *Router) applyRateLimits(engines []fleet.EngineID) {
@@ -109,7 +109,7 @@
 // sendRateLimits tells a peer all limits.
 func (r *Router) sendRateLimits(to fleet.InstanceID) {
 	var m wire.EngineLimits
-	for _, l := range r.limits.book.Limits(r.now) {
+	for _, l := range r.limits.tracker.Limits(r.now) {
 		m.Limits = append(m.Limits, wireLimit(l))
 	}
 	if len(m.Limits) > 0 {
@@ -120,7 +120,7 @@
 func (r *Router) rateLimitsReceived(from fleet.InstanceID, m *wire.EngineLimits) {
 	for _, l := range m.Limits {
 		limit := ratelimit.Limit{Engine: l.Engine, Incarnation: l.Incarnation, Rate: float64(l.MilliRate) / 1000, Age: milliseconds(l.AgeMs)}
-		if r.limits.book.Merge(r.now, limit) {
+		if r.limits.tracker.Merge(r.now, limit) {
 			r.rateLimitChanged(limit, string(from))
 		}
 	}
--- a/internal/router/ratelimits_test.go
+++ b/internal/router/ratelimits_test.go
@@ -88,7 +88,7 @@
 func TestFleetSharesTheLimitOfAnEngine(t *testing.T) {
 	const limit, seconds = 5.0, 8
 	for _, size := range []int{1, 7, 82, 490} {
-		f := newBeliefFleet(t, size, 1)
+		f := newMessageFleet(t, size, 1)
 		var sentAt []time.Duration
 		f.onSend = func(from fleet.InstanceID, send Send) {
 			sentAt = append(sentAt, f.now)
@@ -117,7 +117,7 @@
 // together hand out twice the limit for long.
 func TestLostOwnerOfALimit(t *testing.T) {
 	const limit = 2.0
-	f := newBeliefFleet(t, 30, 2)
+	f := newMessageFleet(t, 30, 2)
 	sends := map[fleet.EngineID][]time.Duration{}
 	f.onSend = func(from fleet.InstanceID, send Send) {
 		sends[send.Engine.ID] = append(sends[send.Engine.ID], f.now)
@@ -164,7 +164,7 @@
 // Guards against an instance that forgets a limit when it restarts or when the instance that learned it is
 // lost, and against one that keeps it when the engine names none or is replaced.
 func TestLimitLastsAsLongAsTheEngineNamesIt(t *testing.T) {
-	f := newBeliefFleet(t, 5, 1)
+	f := newMessageFleet(t, 5, 1)
 	limited := func(id fleet.InstanceID) bool { return f.members[id].r.Stats(f.now).Services[0].Limited == 1 }
 	report := func(id fleet.InstanceID, limit *float64) {
 		s := f.members[id]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -117,7 +117,7 @@
 		routes:   make(map[string]*routeStats),
 		calls:    make(map[CallID]*call),
 		expelled: make(map[fleet.EngineID]time.Duration),
-		limits:   rateLimitState{book: ratelimit.NewBook()},
+		limits:   rateLimitState{tracker: ratelimit.NewTracker()},
 	}
 	r.replica = replica.New(r.contentHash)
 	r.poison.init(fleet.Hash("instance", string(cfg.Instance)))
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -175,7 +175,7 @@
 
 func (r *Router) forgetEngine(addr string, id fleet.EngineID) {
 	delete(r.poison.suspects, id)
-	r.limits.book.Forget(id)
+	r.limits.tracker.Forget(id)
 	r.emit(DropIdleConns{Addr: addr})
 }
 
@@ -245,7 +245,7 @@
 		pools[id] = pool
 	}
 	r.pools = pools
-	r.applyRateLimits(r.limits.book.Engines())
+	r.applyRateLimits(r.limits.tracker.Engines())
 	r.divideBudgets()
 	r.updatePoolLoads()
 }
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -1,6 +1,6 @@
 // Package ratelimit keeps the requests of a fleet below the rate limits that engines name.
 //
-// An engine names one limit for all instances together. A Book holds the limits as the instance and its
+// An engine names one limit for all instances together. A Tracker holds the limits as the instance and its
 // peers observed them, Share divides a limit among the instances, and a Bucket enforces a share. Each
 // instance computes its share by itself, from the members of the fleet and the demand that they report,
 // so that no request waits for a message. In a large fleet a limit can't be divided: one instance, the
@@ -31,8 +31,8 @@
 // Limited reports whether the engine named a limit.
 func (l Limit) Limited() bool { return l.Rate >= 0 }
 
-// Book holds the limits that engines have named. It is not safe for concurrent use.
-type Book struct {
+// Tracker holds the limits that engines have named. It is not safe for concurrent use.
+type Tracker struct {
 	entries map[fleet.EngineID]*entry
 }
 
@@ -76,12 +76,12 @@
 	minRampRate = 1.0
 )
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{entries: make(map[fleet.EngineID]*entry)} }
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker { return &Tracker{entries: make(map[fleet.EngineID]*entry)} }
 
 // Observe records what an engine said to this instance. changed reports whether the rate differs from the
 // one known before, announce whether the other instances need to know.
-func (b *Book) Observe(now time.Duration, l Limit) (changed, announce bool) {
+func (b *Tracker) Observe(now time.Duration, l Limit) (changed, announce bool) {
 	known := b.entries[l.Engine]
 	if known == nil || known.incarnation != l.Incarnation {
 		delete(b.entries, l.Engine)
@@ -136,7 +136,7 @@
 }
 
 // Merge records what an engine said to another instance. It reports whether the known rate changes.
-func (b *Book) Merge(now time.Duration, l Limit) bool {
+func (b *Tracker) Merge(now time.Duration, l Limit) bool {
 	at := now - max(l.Age, 0)
 	known := b.entries[l.Engine]
 	if known == nil || known.incarnation != l.Incarnation {
@@ -155,7 +155,7 @@
 
 // Bound returns the rate at which the fleet may send requests to an incarnation of an engine, or false if
 // there is no bound.
-func (b *Book) Bound(now time.Duration, id fleet.EngineID, incarnation uint64) (Bound, bool) {
+func (b *Tracker) Bound(now time.Duration, id fleet.EngineID, incarnation uint64) (Bound, bool) {
 	known := b.entries[id]
 	if known == nil || known.incarnation != incarnation {
 		return Bound{}, false
@@ -164,15 +164,15 @@
 }
 
 // Ramping returns the engines whose bound changes with time, sorted.
-func (b *Book) Ramping(now time.Duration) []fleet.EngineID {
+func (b *Tracker) Ramping(now time.Duration) []fleet.EngineID {
 	return slices.DeleteFunc(b.Engines(), func(id fleet.EngineID) bool { return !b.entries[id].ramping(now) })
 }
 
 // Engines returns the engines that have named a limit and may have a bound, sorted.
-func (b *Book) Engines() []fleet.EngineID { return slices.Sorted(maps.Keys(b.entries)) }
+func (b *Tracker) Engines() []fleet.EngineID { return slices.Sorted(maps.Keys(b.entries)) }
 
 // Limits returns the limits that engines name, sorted by engine, for an instance that lacks them.
-func (b *Book) Limits(now time.Duration) []Limit {
+func (b *Tracker) Limits(now time.Duration) []Limit {
 	var list []Limit
 	for _, id := range b.Engines() {
 		if e := b.entries[id]; e.rate >= 0 {
@@ -183,10 +183,10 @@
 }
 
 // Forget removes the limit of an engine that has left.
-func (b *Book) Forget(id fleet.EngineID) { delete(b.entries, id) }
+func (b *Tracker) Forget(id fleet.EngineID) { delete(b.entries, id) }
 
 // Expire removes what has not been confirmed for long. It returns the engines that had a limit.
-func (b *Book) Expire(now time.Duration) []fleet.EngineID {
+func (b *Tracker) Expire(now time.Duration) []fleet.EngineID {
 	var expired []fleet.EngineID
 	for _, id := range b.Engines() {
 		e := b.entries[id]
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -82,7 +82,7 @@
 
 // Guards against a limit that outlasts the engine's need, or that ends with a surge.
 func TestBoundEndsGradually(t *testing.T) {
-	b := ratelimit.NewBook()
+	b := ratelimit.NewTracker()
 	changed, announce := b.Observe(0, named(4))
 	require.True(t, changed && announce)
 	changed, announce = b.Observe(time.Second, named(4))
@@ -111,7 +111,7 @@
 
 // Guards against late news of a peer that replaces what is known since.
 func TestLatestObservationWins(t *testing.T) {
-	b := ratelimit.NewBook()
+	b := ratelimit.NewTracker()
 	require.True(t, b.Merge(10*time.Second, named(4)))
 	late := named(-1)
 	late.Age = 2 * time.Second
@@ -124,5 +124,5 @@
 	require.Empty(t, b.Limits(13*time.Second))
 	old := named(9)
 	old.Age = time.Minute
-	require.False(t, ratelimit.NewBook().Merge(time.Hour, old))
+	require.False(t, ratelimit.NewTracker().Merge(time.Hour, old))
 }
