--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,238 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/fleet"
+)
+
+// Choose returns an engine for a request, or false if every engine is draining, excluded or may not get
+// more requests because of its rate limit. For a request with a cache key, an engine with a free slot is
+// preferred to one that would queue it.
+func (p *Pool) Choose(now time.Duration, request Request) (Choice, bool) {
+	choice, ok := p.choose(now, request)
+	if m := p.members[choice.Engine.ID]; ok && m.limit != nil && m.limit.Owner != "" {
+		choice.Owner = m.limit.Owner
+		choice.IsFirst = request.Key != 0 && m == p.firstUsable(now, request)
+	}
+	return choice, ok
+}
+
+func (p *Pool) choose(now time.Duration, request Request) (Choice, bool) {
+	mean := p.mean(now)
+	p.rankedChoices = p.rankedChoices[:0]
+	limited := p.hasLimits()
+	if request.Key != 0 {
+		p.countFirst(now, request)
+		passes := usualPasses
+		if limited {
+			passes = limitedPasses
+		}
+		for _, pass := range passes {
+			if c, ok := p.chooseRanked(now, request, mean, pass); ok {
+				return c, true
+			}
+		}
+	}
+	c, ok := p.chooseLeastLoaded(now, request, mean)
+	if limited && request.Key != 0 {
+		// Engines whose queue is long, or that are paused, can't take what the limits leave.
+		return c, ok && c.Engine.admitsLoad(c.Load, queueShare)
+	}
+	if ok {
+		return c, true
+	}
+	return p.chooseLastResort(now, request, mean)
+}
+
+// mean returns the mean load of the engines that are not draining. Engines with a rate limit count only
+// if all have one: they carry less than the others, which must be able to carry more.
+func (p *Pool) mean(now time.Duration) float64 {
+	sum, n, limitedSum, limited := 0, 0, 0, 0
+	for _, m := range p.memberList {
+		switch {
+		case m.Draining:
+		case m.limit != nil:
+			limitedSum += p.load(now, m)
+			limited++
+		default:
+			sum += p.load(now, m)
+			n++
+		}
+	}
+	if n == 0 {
+		sum, n = limitedSum, limited
+	}
+	if n == 0 {
+		return 0
+	}
+	return float64(sum) / float64(n)
+}
+
+// loadBound returns the load from which an engine is skipped in a key's order.
+func (p *Pool) loadBound(mean float64) int {
+	return int(math.Ceil(p.config.LoadFactor*mean)) + p.config.LoadSlack
+}
+
+// usable reports whether an engine may get a request, regardless of its load.
+func (p *Pool) usable(now time.Duration, m *member, request Request) bool {
+	return m.mayReceive(now, request) && p.usableBut(now, m, request)
+}
+
+// usableBut reports whether an engine may get a request, regardless of its load and its rate limit.
+func (p *Pool) usableBut(now time.Duration, m *member, request Request) bool {
+	return !m.Draining && m.health.admits(now, request.AvoidRecentlyPaused) && !slices.Contains(request.Exclude, m.ID)
+}
+
+// admitsLoad reports whether a load is below a share of the engine's slots.
+func (e Engine) admitsLoad(load int, slotShare float64) bool {
+	return e.Slots <= 0 || float64(load) < slotShare*float64(e.Slots)
+}
+
+// rankedPass tells which engines chooseRanked leaves out.
+type rankedPass struct {
+	// slotShare is the load from which an engine is left out, as a share of its slots. Infinity admits
+	// engines that would queue the request.
+	slotShare float64
+	// anyLimited admits engines with a rate limit for prompts that are not kept there.
+	anyLimited bool
+}
+
+// usualPasses prefers engines with a free slot. When all engines are full, a request queues at the first
+// one below the load bound: if it went to the least loaded engine instead, all instances would choose the
+// same one until its new load is announced.
+var usualPasses = []rankedPass{{slotShare: 1}, {slotShare: math.Inf(1)}}
+
+// chooseRanked returns the first usable engine in the key's rendezvous order that the pass admits.
+func (p *Pool) chooseRanked(now time.Duration, request Request, mean float64, pass rankedPass) (Choice, bool) {
+	bound := p.loadBound(mean)
+	for i := range p.memberList {
+		m := p.rankedMember(request.Key, i)
+		load := p.load(now, m)
+		switch {
+		case !p.usable(now, m, request), load >= bound, !m.admitsLoad(load, pass.slotShare):
+			continue
+		case m.limited() && !pass.anyLimited && !p.keptAt(now, m, request):
+			continue
+		}
+		reason := FirstChoice
+		if i > 0 {
+			reason = Overflow
+		}
+		return Choice{Engine: m.Engine, Reason: reason, FetchFrom: p.fetchSource(now, request.Key, m), Load: p.load(now, m), Mean: mean}, true
+	}
+	return Choice{}, false
+}
+
+// initialRanked is the number of engines of a key's order that are computed at first. Most requests
+// go to the first one; in a pool of 3,000 engines the whole order costs 100 times as much.
+const initialRanked = 8
+
+// rankedMember returns the engine with a rank in the key's order. It extends rankedChoices as
+// needed, which Choose empties for each request.
+func (p *Pool) rankedMember(key uint64, rank int) *member {
+	for rank >= len(p.rankedChoices) {
+		p.rankedChoices = p.ranking.Top(key, initialRanked*max(1, len(p.rankedChoices)), p.rankedChoices)
+	}
+	return p.memberList[p.rankedChoices[rank].Index]
+}
+
+// RecordPromptRead records that an engine has read the prompt of a key.
+func (p *Pool) RecordPromptRead(now time.Duration, id fleet.EngineID, key uint64) {
+	if key != 0 {
+		p.holders.record(now, key, id)
+	}
+}
+
+// fetchSource returns the address of the engine that most likely has cached a prompt that m lacks:
+// the one that last read it for this instance, otherwise the first established one in the key's
+// order that is not paused. It is empty when that engine is m itself or there is none.
+func (p *Pool) fetchSource(now time.Duration, key uint64, m *member) string {
+	if id, ok := p.holders.lookup(key); ok {
+		holder := p.members[id]
+		switch {
+		case holder == m:
+			return ""
+		case holder != nil && holder.health.admits(now, false):
+			return holder.Addr
+		}
+	}
+	for rank := range p.memberList {
+		other := p.rankedMember(key, rank)
+		if other == m && p.established(now, m) {
+			return ""
+		}
+		if other != m && p.established(now, other) && other.health.admits(now, false) {
+			return other.Addr
+		}
+	}
+	return ""
+}
+
+// established reports whether an engine has been in the pool long enough to have cached the prompts
+// that rank it first.
+func (p *Pool) established(now time.Duration, m *member) bool {
+	return m.joinedBeforeFirstRequest || now-m.joinedAt >= p.config.FetchWindow
+}
+
+// chooseLeastLoaded returns the engine with the lowest cost.
+func (p *Pool) chooseLeastLoaded(now time.Duration, request Request, mean float64) (Choice, bool) {
+	var best *member
+	leastCost := math.Inf(1)
+	start := 0
+	if len(p.memberList) > 0 {
+		start = p.rng.IntN(len(p.memberList))
+	}
+	for i := range p.memberList {
+		m := p.memberList[(start+i)%len(p.memberList)]
+		if !p.usable(now, m, request) {
+			continue
+		}
+		if cost := p.cost(now, m, request); cost < leastCost {
+			best, leastCost = m, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	reason, source := LeastLoaded, ""
+	if request.Key != 0 {
+		reason, source = Overflow, p.fetchSource(now, request.Key, best)
+	}
+	return Choice{Engine: best.Engine, Reason: reason, FetchFrom: source, Load: p.load(now, best), Mean: mean}, true
+}
+
+// cost returns the expected wait of one more request relative to an idle local engine of usual
+// speed. For requests without a cache key the counts of other instances are left out: such requests
+// last milliseconds, and the counts arrive with a delay, so all instances would choose the engine that
+// was last announced as idle.
+func (p *Pool) cost(now time.Duration, m *member, request Request) float64 {
+	load := float64(p.load(now, m)) + 1
+	if request.Key == 0 {
+		load = float64(p.observedLoad(now, m)) + 1
+	}
+	if m.DataCentre != request.DataCentre && request.Key == 0 {
+		load += p.config.RemotePenalty
+	}
+	return load * m.health.latencyFactor()
+}
+
+// chooseLastResort returns the engine whose pause ends first, although it may still be paused: a
+// failed connection costs less than a rejected request.
+func (p *Pool) chooseLastResort(now time.Duration, request Request, mean float64) (Choice, bool) {
+	var best *member
+	for _, m := range p.memberList {
+		if m.Draining || !m.mayReceive(now, request) || slices.Contains(request.Exclude, m.ID) {
+			continue
+		}
+		if best == nil || m.health.pausedUntil < best.health.pausedUntil {
+			best = m
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Engine: best.Engine, Reason: LastResort, Load: p.load(now, best), Mean: mean}, true
+}
