placement: an engine with a rate limit is asked now and then although others are faster

Traced in its log: of 1,800 requests in those seconds none went to that engine. It had answered a little slower than the two others, which were idle, so its expected wait was always the longest; without a response nothing says that the limit has ended, and it would have held until its expiry after 30 s.

A request without a cache key now goes to an engine with a limit whose token has been unused for a second, as requests with a key already do. TestSlowEngineWithALimitIsStillAsked on the old code: no request in ten seconds; five now.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -177,7 +177,7 @@
 	return m.joinedBeforeFirstRequest || now-m.joinedAt >= p.config.FetchWindow
 }
 
-// chooseLeastLoaded returns the engine with the lowest cost.
+// chooseLeastLoaded returns the engine with the lowest cost, or one whose rate limit must be confirmed.
 func (p *Pool) chooseLeastLoaded(now time.Duration, request Request, mean float64) (Choice, bool) {
 	var best *member
 	leastCost := math.Inf(1)
@@ -190,6 +190,10 @@
 		if !p.usable(now, m, request) {
 			continue
 		}
+		if m.needsProbe(now) {
+			best = m
+			break
+		}
 		if cost := p.cost(now, m, request); cost < leastCost {
 			best, leastCost = m, cost
 		}
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -211,6 +211,12 @@
 	return b.tokens.NextToken(now)
 }
 
+// needsProbe reports whether an engine with a rate limit has had no request for long although one was
+// allowed. Without requests it can't tell that its limit has ended.
+func (m *member) needsProbe(now time.Duration) bool {
+	return m.limited() && m.limit.Owner == "" && m.limit.tokens.Unused(now)
+}
+
 // mayReceive reports whether the engine's rate limit admits another request, or its owner may be asked.
 func (m *member) mayReceive(now time.Duration, request Request) bool {
 	if m.limit == nil {
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -51,10 +51,12 @@
 // Surplus reports whether tokens accrue faster than they are taken: half of those that can be saved up are
 // there, two at least, or one has not been taken for unusedTime.
 func (b *Bucket) Surplus(now time.Duration) bool {
-	if !b.Available(now) {
-		return false
-	}
-	return b.tokens >= max(b.burst/2, 2) || now-b.availableSince >= unusedTime
+	return b.Unused(now) || b.tokens >= max(b.burst/2, 2)
+}
+
+// Unused reports whether a token has not been taken for unusedTime.
+func (b *Bucket) Unused(now time.Duration) bool {
+	return b.Available(now) && now-b.availableSince >= unusedTime
 }
 
 // Take takes a token.
