internal/router: a quarantine that is renewed is written to the store again

Found by reading: what an instance remembered of a quarantine's key in the store was never dropped, so a trait that was quarantined again after its two minutes was missing in the store, and a restart of all instances would have forgotten it. The maps also grew by one entry a quarantine. Both are dropped now when the quarantine has ended.

TestRenewedQuarantineIsStoredAgain on the old code: no key in the store, expected one; it passes now.

--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -309,3 +309,26 @@
 	require.True(t, f.refusedAt("i002", badPart))
 	require.False(t, f.refusedAt("i002", subjectPart))
 }
+
+// Guards against a quarantine that is renewed after its end and then missing in the store.
+func TestRenewedQuarantineIsStoredAgain(t *testing.T) {
+	f := newMessageFleet(t, 3, 64)
+	f.members["i001"].answer(classPart)
+	for range 3 {
+		require.True(t, f.crashWith("i000", classPart, badPart))
+		f.run(time.Second)
+	}
+	for key, value := range f.stored {
+		for _, id := range f.ids {
+			f.step(id, KeysChanged{Facts: []replica.Fact{{Key: key, Revision: 900, Value: value}}, AtRevision: 900})
+			f.step(id, KeysChanged{Facts: []replica.Fact{{Key: key, Revision: 901, Deleted: true}}, AtRevision: 901})
+		}
+	}
+	clear(f.stored)
+	f.run(2*time.Minute + time.Second)
+	require.Empty(t, f.stored, "an ended key does not return")
+	require.True(t, f.crashWith("i000", classPart, badPart))
+	f.run(4 * time.Second)
+	require.Len(t, f.stored, 1)
+	require.True(t, f.refusedAt("i002", badPart))
+}
--- a/internal/router/quarantines.go
+++ b/internal/router/quarantines.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,14 +39,25 @@
 	s.stored = make(map[fleet.Fingerprint]bool)
 }
 
+// forgetOthers drops what concerns quarantines that have ended: if one is renewed, its key is new.
+func (s *quarantineStoring) forgetOthers(current []crashcause.Quarantine) {
+	active := func(trait fleet.Fingerprint) bool {
+		return slices.ContainsFunc(current, func(q crashcause.Quarantine) bool { return q.Trait == trait })
+	}
+	maps.DeleteFunc(s.nextTry, func(trait fleet.Fingerprint, _ time.Duration) bool { return !active(trait) })
+	maps.DeleteFunc(s.stored, func(trait fleet.Fingerprint, _ bool) bool { return !active(trait) })
+}
+
 // storeQuarantines writes quarantines that are not in the store, so that they survive a restart of all
 // instances. The instances that read the store take turns until one has succeeded.
 func (r *Router) storeQuarantines() {
 	s := &r.poison.storing
+	quarantines := r.poison.detector.Quarantines(r.now)
+	s.forgetOthers(quarantines)
 	if !r.store.watching || r.store.lost {
 		return
 	}
-	for _, q := range r.poison.detector.Quarantines(r.now) {
+	for _, q := range quarantines {
 		if s.stored[q.Trait] || q.Remaining < minStoredQuarantine {
 			continue
 		}
@@ -71,7 +84,6 @@
 	var own []fleet.Fingerprint
 	for _, c := range lifted {
 		r.emit(Decision{Kind: "quarantine_lifted", Fields: []any{"trait", hexHash(c.Trait), "own", c.Own}})
-		delete(r.poison.storing.nextTry, c.Trait)
 		if c.Own {
 			own = append(own, c.Trait)
 		}
