notice, platform, internal/router: engines that leave or want no requests are left alone

Cause: nothing read the header by which an engine says in an answer that it leaves, nor the time that an engine names when it rejects a request. A leaving engine whose registration still said ready, for example while the store was away, got new requests; a full engine was asked again after 100 ms.

Change: package notice keeps both for each process of an engine. A departure stops new requests at once, goes to the peers with the next status report, and ends with another start time. A quiet time binds only the instance that was rejected, as the engine asked it alone; its end is spread by up to a quarter (500 ms at most) over the instances. It is bounded by a minute; unusable header values are logged as engine_header_rejected. When all engines want no requests, callers get 503 at once with the time until the first one does.

Result: TestLeavingEngineGetsNoNewRequests, TestRefusalWhileNoEngineWantsRequests and TestEngineIsLeftAloneForTheTimeItNames fail with recordNotices switched off and pass with it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -151,7 +151,11 @@
 	if a.responseHead.Misdirected {
 		return router.EngineReport{}
 	}
-	return router.EngineReport{Load: a.responseHead.Load, RateLimit: a.responseHead.RateLimit, Confirmed: a.responseHead.Signed}
+	head := &a.responseHead
+	return router.EngineReport{
+		Load: head.Load, RateLimit: head.RateLimit, Leaving: head.Leaving, QuietFor: head.QuietFor,
+		UnusableValue: head.UnusableValue, Confirmed: head.Signed,
+	}
 }
 
 // fail closes the connection and sets the outcome of an attempt that ended without a complete response.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -111,6 +111,7 @@
 		gauge(float64(v.Draining), `bilberry_engines{service=%q,state="draining"}`, v.Service)
 		gauge(float64(v.Paused), `bilberry_engines{service=%q,state="paused"}`, v.Service)
 		gauge(float64(v.Limited), `bilberry_engines_limited{service=%q}`, v.Service)
+		gauge(float64(v.Quiet), `bilberry_engines_quiet{service=%q}`, v.Service)
 		gauge(float64(v.OwnRequests), `bilberry_running{service=%q,of="own"}`, v.Service)
 		gauge(float64(v.AllRequests), `bilberry_running{service=%q,of="fleet"}`, v.Service)
 		gauge(v.MeanLoad, `bilberry_engine_load{service=%q,of="mean"}`, v.Service)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -68,4 +68,10 @@
 	// RateLimit is the number of requests a second that the engine accepts from all instances together, or
 	// nil if it names no limit.
 	RateLimit *float64
+	// Leaving reports whether the engine says that it leaves.
+	Leaving bool
+	// QuietFor is how long the engine that rejects the request wants none from this instance.
+	QuietFor time.Duration
+	// UnusableValue describes a value that does not follow the format, for logs; empty without one.
+	UnusableValue string
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -29,6 +29,7 @@
 		pool.engines.RecordLoadReport(r.now, c.engine, *report.Load)
 	}
 	r.recordRateLimit(c.engine, report)
+	r.recordNotices(c, report)
 }
 
 // attemptEnded records the outcome of an attempt and decides whether another one follows.
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -24,6 +24,8 @@
 	// limitRetrySpread is the time over which callers return whose requests the rate limits of engines did
 	// not admit.
 	limitRetrySpread = time.Second
+	// quietRetrySpread is the time over which callers return whose requests no engine wanted.
+	quietRetrySpread = 300 * time.Millisecond
 	// quarantineRetryAfter is the Retry-After of requests that are refused because they would crash their
 	// engine. It is longer than callers wait.
 	quarantineRetryAfter = 2 * time.Minute
@@ -194,6 +196,10 @@
 			r.giveUpFor(c, "rate_limited", wait+time.Duration(r.rng.Int64N(int64(limitRetrySpread))))
 			return
 		}
+		if wait, quiet := pool.engines.NextQuietEnd(r.now, request); quiet {
+			r.giveUpFor(c, "engines_quiet", wait+time.Duration(r.rng.Int64N(int64(quietRetrySpread))))
+			return
+		}
 		r.giveUp(c, "no_engine")
 		return
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -46,6 +46,12 @@
 	// RateLimit is the number of requests a second that the engine accepts from all instances together, or
 	// nil if it names no limit.
 	RateLimit *float64
+	// Leaving reports whether the engine says that it leaves, and QuietFor how long it wants no request from
+	// this instance.
+	Leaving  bool
+	QuietFor time.Duration
+	// UnusableValue describes a value in the header that can't be used, for logs.
+	UnusableValue string
 	// Confirmed reports whether the engine signed the response as the result of a request. Other responses
 	// may lack what the engine would say.
 	Confirmed bool
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -152,6 +152,7 @@
 		r.loads.poolsStale = true
 	}
 	r.promptsReceived(m.Prompts)
+	r.departuresReceived(from, m.Leaving)
 	if !m.StoreLost {
 		// Removals that peers relay are valid while one of them reads the store.
 		r.registry.StoreRegained(r.now)
@@ -299,11 +300,13 @@
 		m.Running = r.runningCounts()
 	}
 	if to != "" {
+		m.Leaving = wireDepartures(r.notices.Departures(r.now))
 		r.emit(SendMessage{To: to, Message: m})
 		return
 	}
 	m.Prompts = r.members.movedPrompts
 	r.members.movedPrompts = nil
+	m.Leaving = wireDepartures(r.notices.TakeUntold(r.now))
 	r.members.sentHash = r.statusReportHash()
 	r.members.nextStatusReport = r.now + r.maxStatusReportInterval()
 	r.members.earliestStatusReport = r.now + max(minStatusReportInterval, r.linkScaledInterval())
@@ -336,6 +339,9 @@
 	if len(r.members.movedPrompts) > 0 {
 		h ^= 4
 	}
+	if r.notices.HasUntold() {
+		h ^= 8
+	}
 	return h
 }
 
--- /dev/null
+++ b/internal/router/notices.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/notice"
+	"github.com/bilberrywell/bilberrywell/registry"
+)
+
+// recordNotices records what an engine announces in the header of a response.
+func (r *Router) recordNotices(c *call, report *EngineReport) {
+	if report.UnusableValue != "" {
+		r.logDecision(c, "engine_header_rejected", "engine", c.engine, "value", report.UnusableValue)
+	}
+	engine, ok := r.registry.Get(c.engine)
+	if !ok {
+		return
+	}
+	run := runOf(engine)
+	if report.Leaving && r.notices.ObserveLeaving(r.now, run) {
+		r.engineLeaves(run, "response")
+	}
+	if report.QuietFor > 0 {
+		until := r.notices.ObserveQuiet(r.now, run, report.QuietFor, r.rng.Float64())
+		if pool := r.pools[engine.Service]; pool != nil {
+			pool.engines.SetQuiet(engine.ID, until)
+		}
+		r.logDecision(c, "engine_quiet", "engine", engine.ID, "named_ms", report.QuietFor.Milliseconds(), "until_ms", (until - r.now).Milliseconds())
+	}
+}
+
+// engineLeaves stops new requests to an engine that has said that it leaves.
+func (r *Router) engineLeaves(run notice.Run, source string) {
+	r.emit(Decision{Kind: "engine_leaving", Fields: []any{"engine", run.Engine, "incarnation", run.Incarnation, "source", source}})
+	engine, ok := r.registry.Get(run.Engine)
+	if !ok || runOf(engine) != run {
+		return
+	}
+	if pool := r.pools[engine.Service]; pool != nil {
+		pool.engines.SetDraining(engine.ID)
+	}
+	r.emit(DropIdleConns{Addr: engine.Addr})
+}
+
+// tickNotices drops the notices whose time is over.
+func (r *Router) tickNotices() {
+	if r.notices.Expire(r.now) {
+		r.rebuildPools()
+	}
+}
+
+func (r *Router) departuresReceived(from fleet.InstanceID, list []wire.LeavingEngine) {
+	for _, l := range list {
+		run := notice.Run{Engine: l.Engine, Incarnation: l.Incarnation}
+		if r.notices.MergeLeaving(r.now, notice.Departure{Run: run, Age: milliseconds(l.AgeMs)}) {
+			r.engineLeaves(run, string(from))
+		}
+	}
+}
+
+func wireDepartures(list []notice.Departure) []wire.LeavingEngine {
+	var message []wire.LeavingEngine
+	for _, d := range list {
+		message = append(message, wire.LeavingEngine{Engine: d.Engine, Incarnation: d.Incarnation, AgeMs: uint32(d.Age.Milliseconds())})
+	}
+	return message
+}
+
+// runOf identifies the process of a registered engine.
+func runOf(e registry.Engine) notice.Run {
+	return notice.Run{Engine: e.ID, Incarnation: uint64(e.StartedAtMillis)}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/notice"
 	"github.com/bilberrywell/bilberrywell/placement"
 	"github.com/bilberrywell/bilberrywell/ratelimit"
 	"github.com/bilberrywell/bilberrywell/registry"
@@ -92,6 +93,7 @@
 	// when it is readmitted if it is still registered.
 	expelled map[fleet.EngineID]time.Duration
 	limits   rateLimitState
+	notices  *notice.Tracker
 	tokens   tokenState
 	relays   relayState
 	drain    drainState
@@ -118,6 +120,7 @@
 		calls:    make(map[CallID]*call),
 		expelled: make(map[fleet.EngineID]time.Duration),
 		limits:   rateLimitState{tracker: ratelimit.NewTracker()},
+		notices:  notice.NewTracker(),
 	}
 	r.replica = replica.New(r.contentHash)
 	r.poison.init(fleet.Hash("instance", string(cfg.Instance)))
@@ -181,6 +184,7 @@
 	r.tickAwaitingCalls()
 	r.tickPoison()
 	r.tickRateLimits()
+	r.tickNotices()
 	r.tickTokens()
 	r.tickDrain()
 }
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -176,6 +176,7 @@
 func (r *Router) forgetEngine(addr string, id fleet.EngineID) {
 	delete(r.poison.suspects, id)
 	r.limits.tracker.Forget(id)
+	r.notices.Forget(id)
 	r.emit(DropIdleConns{Addr: addr})
 }
 
@@ -239,7 +240,8 @@
 		}
 		var engines []placement.Engine
 		for _, e := range r.registry.Service(id) {
-			engines = append(engines, placement.Engine{ID: e.ID, Addr: e.Addr, DataCentre: e.DataCentre, Slots: e.Slots, Draining: e.Draining})
+			engines = append(engines, placement.Engine{ID: e.ID, Addr: e.Addr, DataCentre: e.DataCentre, Slots: e.Slots,
+				Draining: e.Draining || r.notices.Leaving(runOf(e)), QuietUntil: r.notices.QuietUntil(runOf(e))})
 		}
 		pool.engines.SetEngines(r.now, engines)
 		pools[id] = pool
@@ -292,6 +294,7 @@
 	r.readmitExpelled()
 	removed := r.registry.Tick(r.now)
 	for _, id := range removed {
+		r.notices.Forget(id)
 		r.emit(Decision{Kind: "engine_removed", Fields: []any{"engine", id, "reason", "lapsed"}})
 	}
 	if len(removed) > 0 {
--- a/internal/wire/gatewaymessages.go
+++ b/internal/wire/gatewaymessages.go
@@ -26,6 +26,18 @@
 	LoadsInGrid bool `cbor:"9,keyasint,omitempty"`
 	// Demand lists the sender's demand for services of which engines have named rate limits.
 	Demand []ServiceDemand `cbor:"10,keyasint,omitempty"`
+	// Leaving lists the engines that have told the sender since its last StatusReport that they leave. The
+	// first report on a link lists all that the sender knows.
+	Leaving []LeavingEngine `cbor:"11,keyasint,omitempty"`
+}
+
+// LeavingEngine reports that an engine has said that it leaves.
+type LeavingEngine struct {
+	_           struct{} `cbor:",toarray"`
+	Engine      fleet.EngineID
+	Incarnation uint64
+	// AgeMs is the time since the engine said so.
+	AgeMs uint32
 }
 
 // ServiceDemand is the rate of an instance's requests for a service.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -83,7 +83,7 @@
 
 // usableBut reports whether an engine may get a request, regardless of its load and its rate limit.
 func (p *Pool) usableBut(now time.Duration, m *member, request Request) bool {
-	return !m.Draining && m.health.admits(now, request.AvoidRecentlyPaused) && !slices.Contains(request.Exclude, m.ID)
+	return m.acceptsNew(now) && m.health.admits(now, request.AvoidRecentlyPaused) && !slices.Contains(request.Exclude, m.ID)
 }
 
 // admitsLoad reports whether a load is below a share of the engine's slots.
@@ -228,7 +228,7 @@
 func (p *Pool) chooseLastResort(now time.Duration, request Request, mean float64) (Choice, bool) {
 	var best *member
 	for _, m := range p.memberList {
-		if m.Draining || !m.mayReceive(now, request) || slices.Contains(request.Exclude, m.ID) {
+		if !m.acceptsNew(now) || !m.mayReceive(now, request) || slices.Contains(request.Exclude, m.ID) {
 			continue
 		}
 		if best == nil || m.health.pausedUntil < best.health.pausedUntil {
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -174,10 +174,10 @@
 	}
 }
 
-// Accepts reports whether an engine is in the pool and not draining.
-func (p *Pool) Accepts(id fleet.EngineID) bool {
+// Accepts reports whether an engine is in the pool, not draining, and has not asked for no requests.
+func (p *Pool) Accepts(now time.Duration, id fleet.EngineID) bool {
 	m := p.members[id]
-	return m != nil && !m.Draining
+	return m != nil && m.acceptsNew(now)
 }
 
 // TakeToken counts a request that is sent to an engine against the bound that SetRate has set.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,6 +9,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/affinity"
@@ -22,6 +23,8 @@
 	DataCentre fleet.DataCentre
 	Slots      int
 	Draining   bool
+	// QuietUntil is until when the engine wants no request from this instance.
+	QuietUntil time.Duration
 }
 
 // Load is the load that an engine reports of itself, in requests.
@@ -179,6 +182,38 @@
 	p.ranking = affinity.NewPool(candidates)
 }
 
+// SetDraining marks an engine that gets no new requests, until the next SetEngines.
+func (p *Pool) SetDraining(id fleet.EngineID) {
+	if m := p.members[id]; m != nil {
+		m.Draining = true
+	}
+}
+
+// SetQuiet sets until when an engine gets no request because it wants none.
+func (p *Pool) SetQuiet(id fleet.EngineID, until time.Duration) {
+	if m := p.members[id]; m != nil {
+		m.QuietUntil = until
+	}
+}
+
+// NextQuietEnd returns the time until the first engine that wants no request now may get one, or false if
+// there is no such engine.
+func (p *Pool) NextQuietEnd(now time.Duration, request Request) (time.Duration, bool) {
+	shortest, found := time.Duration(0), false
+	for _, m := range p.memberList {
+		if m.Draining || now >= m.QuietUntil || slices.Contains(request.Exclude, m.ID) {
+			continue
+		}
+		if wait := m.QuietUntil - now; !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
+
+// acceptsNew reports whether an engine is neither draining nor wants no request for now.
+func (m *member) acceptsNew(now time.Duration) bool { return !m.Draining && now >= m.QuietUntil }
+
 // Len returns the number of engines that are not draining.
 func (p *Pool) Len() int {
 	n := 0
--- a/placement/stats.go
+++ b/placement/stats.go
@@ -6,8 +6,9 @@
 type Stats struct {
 	// Engines is the number of all engines; Draining and Paused count those that get no new requests.
 	Engines, Draining, Paused int
-	// Limited counts the engines with a rate limit.
-	Limited int
+	// Limited counts the engines with a rate limit, Quiet those that want no request from this instance for
+	// some time.
+	Limited, Quiet int
 	// OwnRequests is the number of requests that this instance runs, AllRequests the estimated number
 	// that all instances run.
 	OwnRequests, AllRequests int
@@ -30,6 +31,9 @@
 			s.Draining++
 			continue
 		}
+		if now < m.QuietUntil {
+			s.Quiet++
+		}
 		s.MaxLoad = max(s.MaxLoad, p.load(now, m))
 		if p.Paused(now, m.ID) {
 			s.Paused++
