internal/upstream: a response without an id counts only on a connection that carried no other request

Cause: failures without the attempt's id were taken for the response to the request. A faulty engine that sends an earlier rejection once more on a kept connection thereby made the gateway tell a caller "not run" for a request that the engine runs, or send a request that must not repeat to a second engine.

Change: the owner of a response is this request, another one, or unnamed. An unnamed response is accepted on a connection's first exchange only; later it ends the exchange as one whose outcome is unknown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,7 +85,7 @@
 		a.fail(router.Unsent, err)
 		return
 	}
-	a.exchange, err = a.g.engineConns.Do(a.ctx, conn, a.request(), a.isOwnResponse)
+	a.exchange, err = a.g.engineConns.Do(a.ctx, conn, a.request(), a.ownerOf)
 	if err != nil {
 		outcome := router.Broken
 		if errors.Is(err, upstream.ErrUnsent) {
@@ -135,14 +135,17 @@
 	return &upstream.Request{Method: a.r.Method, Target: a.target, Host: a.r.Host, Header: header, Body: a.body, IdleShare: a.cmd.IdleShare}
 }
 
-// isOwnResponse reports whether a response belongs to this request. Engines echo the request's id.
-// Rejections and other failures may lack it; a success without it belongs to no request.
-func (a *attempt) isOwnResponse(res *http.Response) bool {
+// ownerOf tells whose response a response is. Engines echo the request's id. Rejections and other failures
+// may lack it; a success without it belongs to no request.
+func (a *attempt) ownerOf(res *http.Response) upstream.Owner {
 	a.responseHead = a.g.protocol.ReadResponse(res)
-	if a.responseHead.ID == "" {
-		return res.StatusCode >= 300
+	switch {
+	case a.responseHead.ID == "" && res.StatusCode >= 300:
+		return upstream.UnnamedRequest
+	case a.responseHead.ID != "" && a.responseHead.ID == a.callerRequest.callHead.ID:
+		return upstream.ThisRequest
 	}
-	return a.responseHead.ID == a.callerRequest.callHead.ID
+	return upstream.OtherRequest
 }
 
 // engineReport returns what the engine says of itself in the header of the response. A response that was
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -63,12 +63,25 @@
 	bodyRead bool
 }
 
-// Do sends a request on a connection and reads the header of its response. belongs reports whether a
-// response header belongs to this request; other responses are skipped. The connection is closed when
-// ctx ends.
+// Owner tells whose response a response is.
+type Owner uint8
+
+// Owners of a response.
+const (
+	// OtherRequest: the response belongs to another request and is skipped.
+	OtherRequest Owner = iota
+	// ThisRequest: the response belongs to the request.
+	ThisRequest
+	// UnnamedRequest: the response does not say to which request it belongs. It can only be the request's own
+	// if the connection has carried no other request: a faulty engine may send an earlier response again.
+	UnnamedRequest
+)
+
+// Do sends a request on a connection and reads the header of its response. ownerOf tells from a response's
+// header whose it is. The connection is closed when ctx ends.
 //
 // The error is ErrUnsent or ErrBroken.
-func (p *Pool) Do(ctx context.Context, c *Conn, req *Request, belongs func(*http.Response) bool) (*Exchange, error) {
+func (p *Pool) Do(ctx context.Context, c *Conn, req *Request, ownerOf func(*http.Response) Owner) (*Exchange, error) {
 	x := &Exchange{conn: c, pool: p, idleShare: req.IdleShare}
 	x.openSides.Store(2)
 	x.stopContextWatch = context.AfterFunc(ctx, c.Close)
@@ -85,10 +98,11 @@
 		x.Abort()
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	if err := x.readHead(req, belongs); err != nil {
+	if err := x.readHead(req, ownerOf); err != nil {
 		x.Abort()
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	c.reused = true
 	c.setIdleLifetime(x.Response.Header)
 	return x, nil
 }
@@ -138,7 +152,7 @@
 }
 
 // readHead reads response headers until one belongs to the request.
-func (x *Exchange) readHead(req *Request, belongs func(*http.Response) bool) error {
+func (x *Exchange) readHead(req *Request, ownerOf func(*http.Response) Owner) error {
 	// http.ReadResponse needs the method to know whether the response has a body.
 	methodRequest := &http.Request{Method: req.Method}
 	interim, foreign := 0, 0
@@ -147,14 +161,19 @@
 		if err != nil {
 			return err
 		}
-		switch {
-		case res.StatusCode >= 100 && res.StatusCode < 200:
+		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			if interim++; interim > maxInterimResponses {
 				return errors.New("too many interim responses before the final one")
 			}
-		case belongs(res):
+			continue
+		}
+		owner := ownerOf(res)
+		switch {
+		case owner == ThisRequest, owner == UnnamedRequest && !x.conn.reused:
 			x.Response = res
 			return nil
+		case owner == UnnamedRequest:
+			return errors.New("the connection was used before and the response does not name its request")
 		default:
 			if foreign++; foreign > maxForeignResponses || res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 				return errors.New("response belongs to another request")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -81,6 +81,8 @@
 type Conn struct {
 	addr    string
 	netConn net.Conn
+	// reused is set once a response was received.
+	reused bool
 	// head bounds the bytes that reader reads while it reads the head of a response.
 	head   *headLimit
 	reader *bufio.Reader
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -56,7 +56,7 @@
 	require.NoError(t, err)
 	x, err := p.Do(ctx, conn, &upstream.Request{
 		Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("b", bodyBytes)),
-	}, func(res *http.Response) bool { return res.Header.Get("Id") == "mine" })
+	}, ownerByID)
 	if err != nil {
 		return "", err
 	}
@@ -69,6 +69,17 @@
 	return string(data), nil
 }
 
+// ownerByID tells the owner of a response from its header Id.
+func ownerByID(res *http.Response) upstream.Owner {
+	switch id := res.Header.Get("Id"); {
+	case id == "mine":
+		return upstream.ThisRequest
+	case id == "" && res.StatusCode >= 300:
+		return upstream.UnnamedRequest
+	}
+	return upstream.OtherRequest
+}
+
 const ownResponse = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"
 
 // Guards against responses to other requests, interim responses and truncated responses that are taken
@@ -128,6 +139,41 @@
 	require.Len(t, conns, 2)
 }
 
+// Guards against an earlier rejection without an id, sent again on a kept connection, that is taken for the
+// response, and against a rejection without an id on a new connection that is not.
+func TestUnnamedRejection(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	for name, c := range map[string]struct {
+		responses []string
+		want      string
+	}{
+		"first on the connection": {[]string{rejection}, "full"},
+		"sent again":              {[]string{rejection, rejection + ownResponse}, ""},
+		"sent after a success":    {[]string{ownResponse, rejection + ownResponse}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
+				for _, response := range c.responses {
+					if readRequest(r) {
+						_, _ = io.WriteString(conn, response)
+					}
+				}
+				_, _ = r.ReadByte()
+			})
+			p := upstream.NewPool(nil)
+			for i := range c.responses {
+				got, err := exchange(t, p, addr, 3)
+				if i < len(c.responses)-1 {
+					require.NoError(t, err)
+					continue
+				}
+				require.Equal(t, c.want, got)
+				require.Equal(t, c.want == "", errors.Is(err, upstream.ErrBroken))
+			}
+		})
+	}
+}
+
 // Guards against connections that are opened for every request.
 func TestConnectionIsReused(t *testing.T) {
 	conns := make(chan struct{}, 10)
