internal/gateway, internal/router: stalled streams are told by events, and end only for another engine

Cause: the gap timeout of a stream was restarted by every byte, so an engine that sent a byte of a comment now and then held its caller until the deadline. And an attempt that exceeded its timeout was ended before it was known whether another engine could go on: with the others quiet, paused or limited, a slow but sound stream was cut.

Change: the gap is counted between complete events. The timeout reports AttemptStalled; the router ends the attempt only if the budget allows another one and an engine can take it now, and is asked again after each further timeout.

Result: TestDrippingStreamIsResumed and TestSlowStreamIsNotCutWithoutAReplacement failed (streams cut off) and pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,9 +56,9 @@
 	exchange     *upstream.Exchange
 	responseHead ResponseHead
 	result       router.AttemptEnded
-	// stallTimer ends the attempt when the engine sends nothing for too long; stalled reports whether it
-	// did.
-	stallTimer *time.Timer
+	// stallWatch is nil if the attempt has no header timeout. stalled is set if the router ends the attempt
+	// because its engine is silent.
+	stallWatch *stallWatch
 	stalled    atomic.Bool
 }
 
@@ -68,11 +68,7 @@
 	defer cancel()
 	a := &attempt{callerRequest: c, cmd: cmd, ctx: ctx, sentAt: c.g.now(), result: router.AttemptEnded{Call: c.id}}
 	if cmd.HeaderTimeout > 0 {
-		a.stallTimer = time.AfterFunc(cmd.HeaderTimeout, func() {
-			a.stalled.Store(true)
-			cancel()
-		})
-		defer a.stallTimer.Stop()
+		defer a.watchForStalls(cancel)()
 	}
 	a.run()
 	a.result.Delivered = c.headerWritten
@@ -97,19 +93,23 @@
 	a.result.FirstByte = a.g.now() - a.sentAt
 	report := a.engineReport()
 	a.result.Report = &report
-	a.resetStallTimer()
+	a.stallWatch.reset(a.cmd.GapTimeout)
 	a.forwardResponse()
 }
 
-// resetStallTimer restarts the stall timer for the next part of the response, or stops it if there is no
-// gap timeout.
-func (a *attempt) resetStallTimer() {
-	switch {
-	case a.stallTimer == nil:
-	case a.cmd.GapTimeout > 0:
-		a.stallTimer.Reset(a.cmd.GapTimeout)
-	default:
-		a.stallTimer.Stop()
+// watchForStalls reports when the engine exceeds the header or gap timeout. The returned function ends the
+// watch.
+func (a *attempt) watchForStalls(cancel context.CancelFunc) (stop func()) {
+	a.g.calls.setStalled(a.id, func() {
+		a.stalled.Store(true)
+		cancel()
+	})
+	a.stallWatch = newStallWatch(a.cmd.HeaderTimeout, func() {
+		a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID})
+	})
+	return func() {
+		a.stallWatch.reset(0)
+		a.g.calls.setStalled(a.id, nil)
 	}
 }
 
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -15,10 +15,34 @@
 	mu     sync.Mutex
 	lastID router.CallID
 	open   map[router.CallID]chan router.Command
+	// stalled holds the function that ends the running attempt of a request as stalled.
+	stalled map[router.CallID]func()
 }
 
 func (t *callTable) init() {
 	t.open = make(map[router.CallID]chan router.Command)
+	t.stalled = make(map[router.CallID]func())
+}
+
+// setStalled sets the function that endStalled calls for a request; nil removes it.
+func (t *callTable) setStalled(id router.CallID, end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if end == nil {
+		delete(t.stalled, id)
+		return
+	}
+	t.stalled[id] = end
+}
+
+// endStalled ends the running attempt of a request as stalled.
+func (t *callTable) endStalled(id router.CallID) {
+	t.mu.Lock()
+	end := t.stalled[id]
+	t.mu.Unlock()
+	if end != nil {
+		end()
+	}
 }
 
 // add registers a new request and returns its id and its command queue.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,6 +200,8 @@
 	switch e := effect.(type) {
 	case router.Command:
 		g.calls.dispatch(e)
+	case router.EndStalledAttempt:
+		g.calls.endStalled(e.Call)
 	case router.Decision:
 		g.recordDecision(e)
 	case router.CallDone:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,8 +28,8 @@
 	for {
 		n, err := a.exchange.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		a.resetStallTimer()
 		if end := lastEventEnd(pending); end > 0 {
+			a.stallWatch.reset(a.cmd.GapTimeout)
 			if !a.forwardEvents(pending[:end]) {
 				return
 			}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -32,6 +32,20 @@
 	r.recordNotices(c, report)
 }
 
+// attemptStalled ends an attempt whose engine is silent if another engine can take the request. Otherwise the
+// engine keeps it, because it may only be slow.
+func (r *Router) attemptStalled(ev AttemptStalled) {
+	c := r.calls[ev.Call]
+	if c == nil || c.engine != ev.Engine || !r.mayRetry(c, 1) {
+		return
+	}
+	pool := r.pools[c.service]
+	if pool == nil || pool.budget.Remaining(r.now) < 1 || !pool.engines.HasOther(r.now, r.placementRequest(c), c.engine) {
+		return
+	}
+	r.emit(EndStalledAttempt{Call: c.ID})
+}
+
 // attemptEnded records the outcome of an attempt and decides whether another one follows.
 func (r *Router) attemptEnded(ev AttemptEnded) {
 	c := r.calls[ev.Call]
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -177,15 +177,7 @@
 		r.giveUp(c, "retry_budget")
 		return
 	}
-	request := placement.Request{
-		DataCentre:          r.cfg.DataCentre,
-		Exclude:             slices.Concat(c.triedEngines, c.deniedEngines),
-		AvoidAsking:         c.asks >= maxAsks,
-		AvoidRecentlyPaused: !c.route.Repeatable(),
-	}
-	if c.route.Affinity {
-		request.Key = uint64(c.Prompt)
-	}
+	request := r.placementRequest(c)
 	if r.loads.poolsStale {
 		r.updatePoolLoads()
 	}
@@ -210,6 +202,19 @@
 	r.send(c, pool, choice)
 }
 
+func (r *Router) placementRequest(c *call) placement.Request {
+	request := placement.Request{
+		DataCentre:          r.cfg.DataCentre,
+		Exclude:             slices.Concat(c.triedEngines, c.deniedEngines),
+		AvoidAsking:         c.asks >= maxAsks,
+		AvoidRecentlyPaused: !c.route.Repeatable(),
+	}
+	if c.route.Affinity {
+		request.Key = uint64(c.Prompt)
+	}
+	return request
+}
+
 func (r *Router) send(c *call, pool *servicePool, choice placement.Choice) {
 	c.engine = choice.Engine.ID
 	c.choiceReason = choice.Reason
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -39,12 +39,15 @@
 	HoldFailure bool
 	// Resume requests that the engine continues the stream after the last delivered event.
 	Resume bool
-	// HeaderTimeout and GapTimeout bound the waits for the header of the response and between its parts.
-	// The attempt ends as Stalled after them; 0 waits until Deadline.
+	// HeaderTimeout and GapTimeout are the waits for the header of the response and between the events of a
+	// stream after which AttemptStalled is reported; 0 waits until Deadline.
 	HeaderTimeout time.Duration
 	GapTimeout    time.Duration
 }
 
+// EndStalledAttempt ends the running attempt of a request as Stalled, because another engine can take it.
+type EndStalledAttempt struct{ Call CallID }
+
 // Refusal is the kind of a final response that the instance makes itself.
 type Refusal uint8
 
@@ -187,22 +190,23 @@
 	CacheFetch bool
 }
 
-func (CallDone) effect()       {}
-func (AttemptDone) effect()    {}
-func (Send) effect()           {}
-func (Refuse) effect()         {}
-func (DeliverFailure) effect() {}
-func (Release) effect()        {}
-func (CheckEngine) effect()    {}
-func (DropIdleConns) effect()  {}
-func (ConfigInForce) effect()  {}
-func (SetReady) effect()       {}
-func (WatchStore) effect()     {}
-func (StoreKey) effect()       {}
-func (RemoveKey) effect()      {}
-func (SendMessage) effect()    {}
-func (SendToMany) effect()     {}
-func (SetPeers) effect()       {}
-func (StopAccepting) effect()  {}
-func (Drained) effect()        {}
-func (Decision) effect()       {}
+func (CallDone) effect()          {}
+func (AttemptDone) effect()       {}
+func (Send) effect()              {}
+func (EndStalledAttempt) effect() {}
+func (Refuse) effect()            {}
+func (DeliverFailure) effect()    {}
+func (Release) effect()           {}
+func (CheckEngine) effect()       {}
+func (DropIdleConns) effect()     {}
+func (ConfigInForce) effect()     {}
+func (SetReady) effect()          {}
+func (WatchStore) effect()        {}
+func (StoreKey) effect()          {}
+func (RemoveKey) effect()         {}
+func (SendMessage) effect()       {}
+func (SendToMany) effect()        {}
+func (SetPeers) effect()          {}
+func (StopAccepting) effect()     {}
+func (Drained) effect()           {}
+func (Decision) effect()          {}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -93,6 +93,12 @@
 	return [...]string{"none", "completed", "unsent", "rejected", "misdirected", "errored", "broken", "stalled", "timed_out", "caller_left"}[o]
 }
 
+// AttemptStalled reports that the engine of an attempt has exceeded the header or gap timeout.
+type AttemptStalled struct {
+	Call   CallID
+	Engine fleet.EngineID
+}
+
 // AttemptEnded reports how an attempt ended.
 type AttemptEnded struct {
 	Call    CallID
@@ -164,6 +170,7 @@
 
 func (CallArrived) event()        {}
 func (ResponseStarted) event()    {}
+func (AttemptStalled) event()     {}
 func (AttemptEnded) event()       {}
 func (CallerDisconnected) event() {}
 func (EngineChecked) event()      {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -150,6 +150,8 @@
 		r.callArrived(ev)
 	case ResponseStarted:
 		r.responseStarted(ev)
+	case AttemptStalled:
+		r.attemptStalled(ev)
 	case AttemptEnded:
 		r.attemptEnded(ev)
 	case CallerDisconnected:
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -86,6 +86,11 @@
 	return m.acceptsNew(now) && m.health.admits(now, request.AvoidRecentlyPaused) && !slices.Contains(request.Exclude, m.ID)
 }
 
+// HasOther reports whether an engine other than the given one may get a request now, regardless of its load.
+func (p *Pool) HasOther(now time.Duration, request Request, than fleet.EngineID) bool {
+	return slices.ContainsFunc(p.memberList, func(m *member) bool { return m.ID != than && p.usable(now, m, request) })
+}
+
 // admitsLoad reports whether a load is below a share of the engine's slots.
 func (e Engine) admitsLoad(load int, slotShare float64) bool {
 	return e.Slots <= 0 || float64(load) < slotShare*float64(e.Slots)
