replica: facts older than a complete list don't restore the keys that it lacked

Cause: after a restart an instance lists the store and so has no tombstones. A peer that was cut off and still held the registration of an engine that had left, or any other deleted key, brought it back: the fact was older than the list, but nothing said so.

Change: the replica keeps the revision of the newest complete list by prefix and ignores older facts about keys that it does not hold.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -457,3 +457,17 @@
 	s.step(CallArrived{Call: Call{ID: 99, Host: "h", Path: "/get/x", Fingerprint: 7, Arrived: s.now}})
 	must[Send](s)
 }
+
+// Guards against an engine that has left, or a key that was removed, that a peer with older facts brings back
+// at an instance that has just started: its first list of the store lacks the key, but it has seen no deletion.
+func TestOlderFactsOfPeersDontBringKeysBack(t *testing.T) {
+	s := newSession(t, 1) // The list is of revision 100.
+	s.link(1)
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{
+		{Key: "engines/left", Revision: 90, Value: []byte("ready")}, {Key: "engines/new", Revision: 101, Value: []byte("ready")},
+	}}})
+	_, known := s.r.registry.Get("left")
+	require.False(t, known)
+	_, known = s.r.registry.Get("new")
+	require.True(t, known)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -3,7 +3,8 @@
 //
 // A Fact is the state of a key with the store's revision of its last change. Facts are merged by
 // revision, so they may arrive in any order, more than once, from the store or from other instances,
-// and all copies converge. A deleted key leaves a tombstone, so that an older fact can't restore it.
+// and all copies converge. A deleted key leaves a tombstone, so that an older fact can't restore it; neither
+// can one that is older than a complete list without the key.
 // Values are compared by a hash that the caller may define, the value hash. A value that is written
 // again with an equal value hash is not reported as a change: copies may then hold different revisions
 // of a key and still have equal digests.
@@ -46,6 +47,9 @@
 	// tombstones holds the keys of deleted facts in order of arrival. A key may have been written again
 	// since.
 	tombstones []string
+	// listedAt holds, by prefix, the revision of the newest complete list. A key that the list lacked has no
+	// tombstone if this copy never held it.
+	listedAt map[string]uint64
 }
 
 // heldFact is a fact with the hash of its key and its value hash.
@@ -60,7 +64,7 @@
 	if valueHash == nil {
 		valueHash = func(_ string, value []byte) uint64 { return xxhash.Sum64(value) }
 	}
-	return &Replica{facts: make(map[string]heldFact), valueHash: valueHash}
+	return &Replica{facts: make(map[string]heldFact), valueHash: valueHash, listedAt: make(map[string]uint64)}
 }
 
 // NewestRevision returns the highest revision of any merged fact.
@@ -135,7 +139,19 @@
 		}
 	}
 	slices.SortFunc(missing, func(a, b Fact) int { return cmp.Compare(a.Key, b.Key) })
-	return r.Merge(append(missing, facts...))
+	changed := r.Merge(append(missing, facts...))
+	r.listedAt[prefix] = max(r.listedAt[prefix], listRevision)
+	return changed
+}
+
+// deletedBefore reports whether a fact about an unknown key is older than a list that lacked the key.
+func (r *Replica) deletedBefore(f Fact) bool {
+	for prefix, revision := range r.listedAt {
+		if f.Revision <= revision && strings.HasPrefix(f.Key, prefix) {
+			return true
+		}
+	}
+	return false
 }
 
 // All returns the facts of all present keys in order of key.
@@ -159,6 +175,9 @@
 	if known && (f.Revision < old.Revision || f.Revision == old.Revision && (old.Deleted || !f.Deleted)) {
 		return false
 	}
+	if !known && r.deletedBefore(f) {
+		return false
+	}
 	r.newestRevision = max(r.newestRevision, f.Revision)
 	if !known && f.Deleted {
 		r.storeTombstone(f)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -95,6 +95,17 @@
 	require.Empty(t, r.Merge([]replica.Fact{{Key: "b", Revision: 8}}))
 }
 
+// Guards against a fact that restores a key which a complete list lacked, and against a list that keeps facts
+// away which it does not cover.
+func TestListHoldsLateFacts(t *testing.T) {
+	r := replica.New(nil)
+	r.Reset("p/", []replica.Fact{{Key: "p/listed", Revision: 3}}, 10)
+	require.Empty(t, r.Merge([]replica.Fact{{Key: "p/gone", Revision: 10}}))
+	require.Len(t, r.Merge([]replica.Fact{{Key: "p/new", Revision: 11}, {Key: "q/other", Revision: 4}, {Key: "p/listed", Revision: 12, Value: []byte("x")}}), 3)
+	r.Reset("p/", nil, 5)
+	require.Empty(t, r.Merge([]replica.Fact{{Key: "p/gone", Revision: 9}}), "an older list does not count")
+}
+
 // Guards against a list that deletes keys which were written after it was begun, or which it does
 // not cover.
 func TestResetDeletesOnlyWhatTheListCovers(t *testing.T) {
