platform, internal/router: odd entries among the registrations name no engine and stop no others

An entry that replaced a good one by nonsense while the store was away, or shortly after, only suspended the engine, which stayed in use. And batches of many entries of some kilobytes exceeded a megabyte, which no peer unpacks, so that the other entries in them were lost.

Batches are bounded by bytes too.

--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxBatchFacts bounds the facts of one compressed message: about 150 KB before compression.
+	// maxBatchFacts and maxBatchBytes bound the facts of one compressed message before compression. 500
+	// registrations have about 150 KB; receivers accept a megabyte.
 	maxBatchFacts = 500
+	maxBatchBytes = 512 << 10
 	// maxUnpackedFacts is the number of facts above which the response to a repair request is compressed.
 	maxUnpackedFacts = 20
 )
@@ -34,12 +36,22 @@
 	facts := r.relays.batch
 	r.relays.batch = nil
 	for len(facts) > 0 {
-		n := min(len(facts), maxBatchFacts)
+		n := batchLength(facts)
 		r.sendAlongTree(r.packBatch(facts[:n]), r.shuffledPeers())
 		facts = facts[n:]
 	}
 }
 
+// batchLength returns the number of facts that fit into one compressed message.
+func batchLength(facts []wire.StoreFact) int {
+	n, bytes := 0, 0
+	for n < min(len(facts), maxBatchFacts) && bytes < maxBatchBytes {
+		bytes += len(facts[n].Key) + len(facts[n].Value)
+		n++
+	}
+	return n
+}
+
 // packBatch returns a message with facts compressed together.
 func (r *Router) packBatch(facts []wire.StoreFact) wire.StoreFacts {
 	packed, err := wire.PackFacts(facts)
@@ -54,7 +66,7 @@
 // compressed batches.
 func (r *Router) sendFacts(to fleet.InstanceID, facts []wire.StoreFact) {
 	for len(facts) > maxUnpackedFacts {
-		n := min(len(facts), maxBatchFacts)
+		n := batchLength(facts)
 		part := r.packBatch(facts[:n])
 		r.emit(SendMessage{To: to, Message: &part})
 		facts = facts[n:]
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -73,6 +73,50 @@
 	require.False(t, again)
 }
 
+// Guards against many odd entries of a few kilobytes whose batch no peer can read, so that the other entries of
+// the batch are lost with them.
+func TestBatchesOfLargeEntriesCanBeRead(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(40)
+	s.r.store.rank = 0
+	var facts []replica.Fact
+	for i := range 600 {
+		value := make([]byte, largeValueBytes-100)
+		for j := range value {
+			value[j] = byte(s.r.rng.Uint32())
+		}
+		facts = append(facts, replica.Fact{Key: fmt.Sprintf("engines/odd%d", i), Revision: uint64(200 + i), Value: value})
+	}
+	facts = append(facts, replica.Fact{Key: "engines/good", Revision: 900, Value: []byte("ready")})
+	s.step(KeysChanged{Facts: facts, AtRevision: 900})
+	checkBatches(t, s.sent(wire.KindStoreFacts), len(facts))
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.FactsRequest{Buckets: make([]uint64, replica.Buckets)}})
+	checkBatches(t, s.sent(wire.KindStoreFacts), len(facts))
+}
+
+// checkBatches checks that a peer can read messages, and that they hold at least a number of facts.
+func checkBatches(t *testing.T, messages []SendMessage, atLeast int) {
+	keys := map[string]bool{}
+	for _, m := range messages {
+		frame, err := wire.Append(nil, m.Message)
+		require.NoError(t, err)
+		decoded, err := wire.Decode(frame)
+		require.NoError(t, err)
+		facts := decoded[0].(*wire.StoreFacts)
+		for _, f := range facts.Facts {
+			keys[f.Key] = true
+		}
+		if len(facts.Batch) > 0 {
+			batch, err := wire.UnpackFacts(facts.Batch)
+			require.NoError(t, err)
+			for _, f := range batch {
+				keys[f.Key] = true
+			}
+		}
+	}
+	require.GreaterOrEqual(t, len(keys), atLeast)
+}
+
 // Guards against an instance that leaves reading the store to other instances although they have lost it.
 func TestWatchesWhenOthersLostTheStore(t *testing.T) {
 	s := newSession(t, 1)
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -149,7 +149,7 @@
 	engine, err := r.cfg.StoreDecoder.Engine(f.Key, f.Value)
 	if err != nil {
 		r.emit(Decision{Kind: "registration_rejected", Fields: []any{"key", f.Key, "revision", f.Revision, "error", err.Error()}})
-		return r.removeEngine(id, "unreadable")
+		return r.removeUnreadable(id)
 	}
 	if !r.registry.Put(engine) {
 		return false
@@ -159,7 +159,20 @@
 	return true
 }
 
-// removeEngine removes an engine whose registration is missing or unreadable. It returns false if the
+// removeUnreadable removes an engine whose entry was replaced by one that names no engine. Unlike a missing
+// entry, which may only have expired, this one was written, so the engine gets no new requests until it
+// registers again. What it runs goes on.
+func (r *Router) removeUnreadable(id fleet.EngineID) bool {
+	engine, _ := r.registry.Get(id)
+	if !r.registry.RemoveNow(id) {
+		return false
+	}
+	r.emit(Decision{Kind: "engine_removed", Fields: []any{"engine", id, "reason", "unreadable", "suspended", false}})
+	r.forgetEngine(engine.Addr, id)
+	return true
+}
+
+// removeEngine removes an engine whose registration is missing. It returns false if the
 // engine is unknown, or is only suspended because the store is unreachable or was until recently.
 func (r *Router) removeEngine(id fleet.EngineID, reason string) bool {
 	engine, known := r.registry.Get(id)
