internal/gateway: a planned stop waits for requests that are being received

Cause: a request counted from the end of its body on. When all others had ended, a stopping instance ended its process while a body was still on its way, and the caller's connection broke off.

Change: a request counts from its header on. Once the router has drained, the instance ends after 100 ms in which no request was being received, at most at the end of the grace.

Result: TestStopWaitsForRequestsThatAreBeingReceived failed (connection cut) and passes. TestStopUnderLoadCutsNothingOff with 12 callers on kept and new connections passed before and passes.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -48,12 +48,13 @@
 	c := &callerRequest{g: g, w: w, r: r, responseController: http.NewResponseController(w), callHead: g.protocol.ReadCall(r.Header)}
 	c.lastEvent = c.callHead.LastEvent
 	c.target = requestTarget(r)
-	if c.headerTooLarge() || !c.readBody() {
-		return
-	}
+	// The request counts from here on, so that a planned stop waits for its body too.
 	id, commands := g.calls.add()
 	defer g.calls.remove(id)
 	c.id = id
+	if c.headerTooLarge() || !c.readBody() {
+		return
+	}
 	path, _, _ := strings.Cut(c.target, "?")
 	g.step(router.CallArrived{Call: router.Call{
 		ID:            id,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,9 @@
 	maintenanceInterval = time.Second
 	// exitMargin is the part of the stop grace that is reserved for closing connections.
 	exitMargin = 300 * time.Millisecond
+	// quietTime is how long a stopping instance without requests waits for one on a connection that was just
+	// accepted, whose header is still on its way.
+	quietTime = 100 * time.Millisecond
 	// peerBudget bounds the bytes per second sent to peers. Normal traffic is far lower; while
 	// configurations change in quick succession, an instance forwards four compressed ones of 15 KB
 	// four times a second. The link of a weak machine carries 1.25 MB/s.
@@ -277,16 +280,35 @@
 	<-ctx.Done()
 	g.draining.Store(true)
 	g.step(router.DrainRequested{})
-	deadline := time.NewTimer(g.settings.StopGrace - exitMargin)
+	g.awaitDrained(g.settings.StopGrace - exitMargin)
+	g.stop(servers)
+	klog.InfoS("stopped")
+	return nil
+}
+
+// awaitDrained waits until the router has drained and no request is being received, at most for the grace.
+func (g *Gateway) awaitDrained(grace time.Duration) {
+	deadline := time.NewTimer(grace)
 	defer deadline.Stop()
 	select {
 	case <-g.drained:
 	case <-deadline.C:
-		klog.InfoS("stop grace ended with requests in flight")
+		klog.InfoS("stop grace ended with requests in flight", "requests", g.calls.count())
+		return
+	}
+	ticker := time.NewTicker(quietTime / 5)
+	defer ticker.Stop()
+	for quietSince := time.Now(); time.Since(quietSince) < quietTime; {
+		select {
+		case <-ticker.C:
+		case <-deadline.C:
+			klog.InfoS("stop grace ended while requests were being received", "requests", g.calls.count())
+			return
+		}
+		if g.calls.count() > 0 {
+			quietSince = time.Now()
+		}
 	}
-	g.stop(servers)
-	klog.InfoS("stopped")
-	return nil
 }
 
 func (g *Gateway) stop(servers []*httputil.Server) {
