--- a/placement/limits.go
+++ b/placement/limits.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// Accepts reports whether an engine is in the pool, not draining, and has not asked for no requests.
+// Accepts reports whether an engine is in the pool, not draining, and not in a time for which it refuses requests.
 func (p *Pool) Accepts(now time.Duration, id fleet.EngineID) bool {
 	m := p.members[id]
 	return m != nil && m.acceptsNew(now)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,10 +1,11 @@
 // Package placement chooses engines for requests at the instance that received them.
 //
 // A request with a cache key goes to the first engine in the key's rendezvous order that is healthy
-// and below the pool's load bound, which is lower for engines that are slow; all instances compute the same order without exchanging
-// messages. A request without a key goes to the engine with the shortest expected wait. The load of
-// an engine is estimated from the requests that this instance runs there, the counts that other
-// instances announced, and the load that the engine reported with its latest answers.
+// and below the pool's load bound, which is lower for slow engines while another has a free slot. All
+// instances compute the same order without exchanging messages. A request without a key goes to the
+// engine with the shortest expected wait. The load of an engine is estimated from the requests that
+// this instance runs there, the counts that other instances announced, and the load that the engine
+// reported with its latest answers.
 package placement
 
 import (
