internal/router: a stalled stream is ended only for an engine that gets it

What callers would see: a stream that is cut because its sound engine had been silent for a moment. The connection was closed within the answer.

Cause: a stalled attempt was ended once some other engine could get a request. The choice that followed asked more: a queue bound beside engines with a rate limit, the owner of a rate limit, the quarantine, and the retry budget, of which several attempts could be ended for the last retry.

Change: the engine is chosen, and its retry counted, before the attempt is ended. If an owner admits requests to that engine, the attempt goes on until the owner has agreed. Quarantined requests keep the engine that they have.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -32,20 +32,6 @@
 	r.recordNotices(c, report)
 }
 
-// attemptStalled ends an attempt whose engine is silent if another engine can take the request. Otherwise the
-// engine keeps it, because it may only be slow.
-func (r *Router) attemptStalled(ev AttemptStalled) {
-	c := r.calls[ev.Call]
-	if c == nil || c.engine != ev.Engine || !r.mayRetry(c, 1) {
-		return
-	}
-	pool := r.pools[c.service]
-	if pool == nil || pool.budget.Remaining(r.now) < 1 || !pool.engines.HasOther(r.now, r.placementRequest(c), c.engine) {
-		return
-	}
-	r.emit(EndStalledAttempt{Call: c.ID})
-}
-
 // attemptEnded records the outcome of an attempt and decides whether another one follows.
 func (r *Router) attemptEnded(ev AttemptEnded) {
 	c := r.calls[ev.Call]
@@ -67,6 +53,8 @@
 	r.logDecision(c, "attempt_ended", "engine", c.engine, "outcome", ev.Outcome.String(), "detail", ev.Detail,
 		"ms", (r.now - c.sentAt).Milliseconds(), "first_byte_ms", ev.FirstByte.Milliseconds(), "delivered", c.partDelivered, "failed", ev.Failed)
 	c.triedEngines = append(c.triedEngines, c.engine)
+	replacement := c.replacement
+	c.replacement = nil
 	switch ev.Outcome {
 	case Completed, CallerLeft:
 		r.release(c, ev.Outcome.String())
@@ -78,6 +66,9 @@
 		c.heldFrom = c.engine
 		r.retryOr(c, func() { r.deliver(c) })
 	case Broken, Stalled:
+		if ev.Outcome == Stalled && replacement != nil && r.sendReplacement(c, *replacement) {
+			return
+		}
 		r.retryOr(c, func() { r.refuse(c, MayHaveRun, "engine_lost", 0) })
 	}
 }
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -69,6 +69,8 @@
 	// and asks counts the owners that were asked.
 	deniedEngines []fleet.EngineID
 	asks          int
+	// replacement is the engine for which the running attempt is being ended as stalled, or nil.
+	replacement *placement.Choice
 	// reachedAttempts counts the attempts that reached an engine, possibleRuns those that may have run.
 	reachedAttempts, possibleRuns int
 	// partDelivered reports whether a part of a response has reached the caller.
@@ -216,7 +218,7 @@
 		return
 	}
 	if choice.Owner != "" {
-		r.askToken(c, choice)
+		r.askToken(c, choice, "")
 		return
 	}
 	r.send(c, pool, choice)
--- a/internal/router/enginetokens.go
+++ b/internal/router/enginetokens.go
@@ -29,15 +29,18 @@
 	call    *call
 	choice  placement.Choice
 	askedAt time.Duration
+	// stalledAt is the engine whose attempt runs until the owner admits the request, or empty without one.
+	stalledAt fleet.EngineID
 }
 
 func (s *tokenState) init() { s.pending = make(map[uint64]pendingToken) }
 
-// askToken asks the owner of an engine's rate limit whether a request may be sent to the engine.
-func (r *Router) askToken(c *call, choice placement.Choice) {
+// askToken asks the owner of an engine's rate limit whether a request may be sent to the engine. The attempt at
+// stalledAt, if there is one, goes on meanwhile.
+func (r *Router) askToken(c *call, choice placement.Choice, stalledAt fleet.EngineID) {
 	c.asks++
 	r.tokens.lastID++
-	r.tokens.pending[r.tokens.lastID] = pendingToken{c, choice, r.now}
+	r.tokens.pending[r.tokens.lastID] = pendingToken{c, choice, r.now, stalledAt}
 	r.emit(SendMessage{To: choice.Owner, Message: &wire.EngineTokenRequest{
 		ID: r.tokens.lastID, Engine: choice.Engine.ID, Key: uint64(c.Prompt), FirstChoice: choice.IsFirst,
 	}})
@@ -72,6 +75,8 @@
 	switch {
 	case r.calls[p.call.ID] != p.call:
 		// The caller has left.
+	case p.stalledAt != "":
+		r.stalledTokenDecided(p, pool, admitted)
 	case admitted && pool != nil && pool.engines.Accepts(r.now, p.choice.Engine.ID):
 		r.send(p.call, pool, p.choice)
 	default:
