internal/gateway, internal/daemon: callers that close their sending side get no empty success

What callers would see: one that closes its sending side after the request and reads on got 200 with an empty body, which no engine had sent, or the first events of a stream as a whole one. Callers that close both sides saw no difference.

Cause: net/http ends the context of a request at the end of what the caller sends. The handler then returned without a response, and net/http completes what a handler leaves open.

Change: a request that ends without its whole response ends with its connection. The router says with Release which it is. The daemon's handler does the same. A body that can't be read to its end is refused or aborted like one that breaks off.

--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -79,7 +79,7 @@
 		select {
 		case <-r.Context().Done():
 			d.loop.post(core.CallerDisconnected{Request: id})
-			return
+			abortConnection()
 		case cmd := <-commands:
 			if d.executeCommand(r.Context(), id, cmd, res) {
 				return
@@ -88,6 +88,10 @@
 	}
 }
 
+// abortConnection closes the connection of a caller that has disconnected. It may only have closed its sending side,
+// and would take an empty response, or a part of one, for the whole.
+func abortConnection() { panic(http.ErrAbortHandler) }
+
 // executeCommand executes a command for a request. It returns true when the request has ended.
 func (d *Daemon) executeCommand(ctx context.Context, id core.RequestID, cmd core.Effect, res responder) bool {
 	switch cmd := cmd.(type) {
@@ -96,7 +100,10 @@
 			d.loop.post(core.FirstByte{Request: id, Attempt: cmd.Attempt})
 		})
 		d.loop.post(end)
-		return end.Result == wire.ResultComplete || end.Result == wire.ResultCanceled
+		if end.Result == wire.ResultCanceled {
+			abortConnection()
+		}
+		return end.Result == wire.ResultComplete
 	case core.FailRequest:
 		res.fail(newCallerError(cmd))
 		return true
--- /dev/null
+++ b/internal/daemon/unanswered_test.go
@@ -0,0 +1,39 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/internal/fleettest"
+)
+
+// Guards against an empty success that no service gave: a caller that has closed its sending side, and still reads,
+// would take it for the answer.
+func TestCallerThatClosesItsSideGetsNoFalseAnswer(t *testing.T) {
+	reached, release := make(chan bool, 1), make(chan struct{})
+	defer close(release)
+	f := fleettest.Start(t, fleettest.Options{Instances: 1, ServiceHandler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/load" {
+			reached <- true
+			<-release
+		}
+	})})
+	conn, err := net.Dial("tcp", f.Nodes[0].Settings.CallerAddr)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = fmt.Fprintf(conn, "GET /v1/services/orders/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", fleettest.APIKey)
+	require.NoError(t, err)
+	<-reached
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		require.NotEqual(t, http.StatusOK, res.StatusCode)
+	}
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -151,8 +151,10 @@
 			return c.bodyFailed(err)
 		}
 		// The body must be read to EOF, so that net/http notices when the caller disconnects.
-		_, err := io.Copy(io.Discard, c.r.Body)
-		return err == nil
+		if _, err := io.Copy(io.Discard, c.r.Body); err != nil {
+			return c.bodyFailed(err)
+		}
+		return true
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
@@ -184,6 +186,11 @@
 	case router.Refuse:
 		c.refuse(command)
 	case router.Release:
+		if !command.Complete {
+			// The caller may only have closed its sending side. Without a break it would take an empty response,
+			// or a part of a stream, for the whole one.
+			c.abortConnection()
+		}
 	}
 	return true
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -57,7 +57,7 @@
 	c.replacement = nil
 	switch ev.Outcome {
 	case Completed, CallerLeft:
-		r.release(c, ev.Outcome.String())
+		r.release(c, ev.Outcome)
 	case TimedOut:
 		r.timedOut(c)
 	case Unsent, Rejected, Misdirected:
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -337,10 +337,10 @@
 	r.finish(c, code)
 }
 
-// release ends a request that needs no response.
-func (r *Router) release(c *call, result string) {
-	r.emit(Release{Call: c.ID})
-	r.finish(c, result)
+// release ends a request whose caller has the whole response, or has disconnected.
+func (r *Router) release(c *call, o Outcome) {
+	r.emit(Release{Call: c.ID, Complete: o == Completed})
+	r.finish(c, o.String())
 }
 
 // finish reports and removes a request that has ended.
@@ -365,7 +365,7 @@
 func (r *Router) callerDisconnected(ev CallerDisconnected) {
 	if c := r.calls[ev.Call]; c != nil {
 		r.logDecision(c, "caller_left")
-		r.release(c, CallerLeft.String())
+		r.release(c, CallerLeft)
 	}
 }
 
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -80,7 +80,11 @@
 type DeliverFailure struct{ Call CallID }
 
 // Release ends a request that needs no further response: its caller has disconnected or has the response.
-type Release struct{ Call CallID }
+type Release struct {
+	Call CallID
+	// Complete reports whether the caller has the whole response. Otherwise the connection is closed.
+	Complete bool
+}
 
 // Target implements Command.
 func (e Send) Target() CallID { return e.Call }
