internal/gateway: the end of a stream reaches its caller however long after the last event it comes

What callers would see: a complete stream that looked cut off, if its engine sent the end over 5 s after the last event.

Cause: each write to a caller has 5 s from its start, and the deadline stayed on the connection. net/http writes the end of the response after the handler, by then against a deadline that had passed. The daemon has no such write: the end of its streams is an event, and its plain responses renew the deadline at their end.

Change: the end has a deadline of its own.

Result: TestEndOfAStreamLongAfterItsLastEvent failed (unexpected EOF) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -272,7 +272,7 @@
 // forwardPart writes a part of a response to the caller. It returns false if the write fails, which
 // means that the caller has disconnected.
 func (a *attempt) forwardPart(data []byte) bool {
-	_ = a.responseController.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	a.boundWrites()
 	if _, err := a.w.Write(data); err != nil {
 		a.fail(router.CallerLeft, err)
 		return false
@@ -280,6 +280,11 @@
 	return true
 }
 
+// boundWrites starts a new callerWriteTimeout for what is written next.
+func (c *callerRequest) boundWrites() {
+	_ = c.responseController.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+}
+
 // deliverHeld forwards the failure response that was held back.
 func (c *callerRequest) deliverHeld() { c.writeHeld(c.heldFailure) }
 
@@ -291,7 +296,7 @@
 		return
 	}
 	c.writeHead(held.status, held.header, int64(len(held.body)))
-	_ = c.responseController.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	c.boundWrites()
 	// A failed write means that the caller has disconnected.
 	_, _ = c.w.Write(held.body)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -89,6 +89,8 @@
 	if !a.headerWritten {
 		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
 	}
+	// net/http writes the end of the response, possibly long after the last event.
+	a.boundWrites()
 	a.exchange.Finish()
 	a.result.Outcome = router.Completed
 }
