--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -29,6 +29,9 @@
 
 func (r *Router) keysListed(ev KeysListed) {
 	r.storeReachable()
+	if held := r.replica.NewestRevision(); ev.AtRevision < held {
+		r.emit(Decision{Kind: "store_revision_regressed", Fields: []any{"listed", ev.AtRevision, "held", held}})
+	}
 	changed := r.replica.Reset(ev.Prefix, ev.Facts, ev.AtRevision)
 	r.applyFacts(changed)
 	// The first list after a start is new only to this instance, so it is not relayed.
