internal/upstream: a response without an id doesn't count after one to another request

Callers could be told 503 "not run" for a request that an engine runs, or a request that must not repeat could run at a second engine. Cause: a connection counted as used only once a request had got its own response. If the first response on a new connection belonged to another request, it was skipped, and a rejection without an id after it was taken for the response, although it may be a copy of an earlier rejection just as on a kept connection.

A skipped response now marks the connection as used as well, so that an unnamed response after it ends the exchange as one that may have run. An interim response (1xx) marks nothing.

Evidence: TestUnnamedRejection, "after a foreign one", failed before: expected "" and ErrBroken, got "full". It passes now, and so does a rejection without an id after an interim response, which passed before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -73,7 +73,7 @@
 	// ThisRequest: the response belongs to the request.
 	ThisRequest
 	// UnnamedRequest: the response does not say to which request it belongs. It can only be the request's own
-	// if the connection has carried no other request: a faulty engine may send an earlier response again.
+	// if the connection has carried no other response: a faulty engine may send an earlier response again.
 	UnnamedRequest
 )
 
@@ -181,6 +181,7 @@
 			if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxForeignBytes)); err != nil || n == maxForeignBytes {
 				return errors.New("response to another request could not be skipped")
 			}
+			x.conn.reused = true
 		}
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -81,7 +81,7 @@
 type Conn struct {
 	addr    string
 	netConn net.Conn
-	// reused is set once a response was received.
+	// reused is set once a response was received, also one to another request.
 	reused bool
 	// head bounds the bytes that reader reads while it reads the head of a response.
 	head   *headLimit
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -139,10 +139,11 @@
 	require.Len(t, conns, 2)
 }
 
-// Guards against an earlier rejection without an id, sent again on a kept connection, that is taken for the
-// response, and against a rejection without an id on a new connection that is not.
+// Guards against an earlier rejection without an id, sent again on a connection that has carried a response,
+// that is taken for the response, and against a rejection without an id on a new connection that is not.
 func TestUnnamedRejection(t *testing.T) {
 	const rejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	const foreign = "HTTP/1.1 503 Service Unavailable\r\nId: other\r\nContent-Length: 4\r\n\r\nfull"
 	for name, c := range map[string]struct {
 		responses []string
 		want      string
@@ -150,6 +151,8 @@
 		"first on the connection": {[]string{rejection}, "full"},
 		"sent again":              {[]string{rejection, rejection + ownResponse}, ""},
 		"sent after a success":    {[]string{ownResponse, rejection + ownResponse}, ""},
+		"after a foreign one":     {[]string{foreign + rejection + ownResponse}, ""},
+		"after an interim one":    {[]string{"HTTP/1.1 100 Continue\r\n\r\n" + rejection}, "full"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
