internal/upstream: a reset that the write of the request met doesn't end a response as whole

Callers could get a 200 with a part of the engine's body, framed as whole. The engine had answered a long request with a response that has neither a length nor chunks, and the connection was reset, or timed out, before the request was written.

Cause: the kernel reports the error of a connection once, to the next call. A request of more than 4 KiB is written while its response is read. If the write met the error, the read found only the end of the connection, which ends such a response.

At the end of a response that ends with its connection, the exchange now ends the write and looks at its error. A reset after the engine has ended its side of the connection gives EPIPE, and the response stays whole; any other error of the connection means that the response broke off.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -58,6 +60,9 @@
 	openSides atomic.Int32
 	unusable  atomic.Bool
 	idleShare float64
+	// written is closed once the write of the request has ended, with writeErr.
+	written  chan struct{}
+	writeErr error
 	// Response is the header of the response. Read its body with Read.
 	Response *http.Response
 	bodyRead bool
@@ -82,7 +87,7 @@
 //
 // The error is ErrUnsent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, c *Conn, req *Request, ownerOf func(*http.Response) Owner) (*Exchange, error) {
-	x := &Exchange{conn: c, pool: p, idleShare: req.IdleShare}
+	x := &Exchange{conn: c, pool: p, idleShare: req.IdleShare, written: make(chan struct{})}
 	x.openSides.Store(2)
 	x.stopContextWatch = context.AfterFunc(ctx, c.Close)
 	if ctx.Err() != nil {
@@ -110,17 +115,20 @@
 func (x *Exchange) write(req *Request) error {
 	data := encode(req)
 	if len(data) <= maxInlineWriteBytes {
-		_, err := x.conn.netConn.Write(data)
-		x.release(err == nil)
-		return err
+		x.writeData(data)
+		return x.writeErr
 	}
-	go func() {
-		_, err := x.conn.netConn.Write(data)
-		x.release(err == nil)
-	}()
+	go x.writeData(data)
 	return nil
 }
 
+func (x *Exchange) writeData(data []byte) {
+	_, x.writeErr = x.conn.netConn.Write(data)
+	clean := x.writeErr == nil
+	close(x.written)
+	x.release(clean)
+}
+
 // release ends the use of the connection by one side. The last side returns it to the pool if both ended
 // cleanly.
 func (x *Exchange) release(clean bool) {
@@ -196,10 +204,23 @@
 // Read reads the response's body. It returns io.EOF only at the end of a complete body.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
-	if err == io.EOF {
-		x.bodyRead = true
+	if err != io.EOF {
+		return n, err
+	}
+	if x.EndsWithConnection() && x.writeMetReset() {
+		return n, io.ErrUnexpectedEOF
 	}
-	return n, err
+	x.bodyRead = true
+	return n, io.EOF
+}
+
+// writeMetReset reports whether the end of the connection that was read stands for a reset or a timeout: the kernel
+// reports such an error once, and the write of the request may have met it. It ends the write.
+func (x *Exchange) writeMetReset() bool {
+	_ = x.conn.netConn.SetWriteDeadline(time.Now())
+	<-x.written
+	// EPIPE follows a reset after the engine has ended its side of the connection.
+	return x.writeErr != nil && !errors.Is(x.writeErr, os.ErrDeadlineExceeded) && !errors.Is(x.writeErr, syscall.EPIPE)
 }
 
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that the end of the
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -328,3 +328,41 @@
 		})
 	}
 }
+
+// Guards against a response without a length that is taken as whole although its connection was reset, because
+// the write of a long request has met the error and the read finds only the end of the connection.
+func TestUnframedResponseResetWhileTheRequestIsWritten(t *testing.T) {
+	addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\npart")
+		// The rest of the request exceeds the buffers of both ends, so that its write blocks.
+		time.Sleep(50 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	p := upstream.NewPool(nil)
+	whole := 0
+	for range 10 {
+		if _, err := exchange(t, p, addr, 16<<20); err == nil {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of 10 responses")
+}
+
+// Guards against a response without a length that counts as broken because its engine has ended it and closed the
+// connection without reading the rest of the request.
+func TestUnframedResponseBeforeTheRequestIsRead(t *testing.T) {
+	addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nok")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		// The connection is reset after the exchange has had time to read the end of the response.
+		time.Sleep(50 * time.Millisecond)
+	})
+	p := upstream.NewPool(nil)
+	for range 10 {
+		got, err := exchange(t, p, addr, 16<<20)
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+	}
+}
