internal/gateway: a success without a length whose connection ends before its body is broken off

Callers got a 200 with an empty body and Content-Length: 0 when an engine had sent the head of a response with neither a length nor chunks, and its connection was closed. The end of the connection ends such a response, so the break looked like its end. An answer may be empty by the protocol, but an engine that says so sends a length; the exchange now counts as broken, as that of a stream without an event does. A request that may be sent again goes to another engine, others get a 502. Responses to HEAD have no body and are passed on as before.

Evidence: TestCutOffAnswerDoesNotLookWhole cuts answers after each byte, by a close and by a reset, and reads from a raw connection what the caller gets. One of its 18 cases failed before, an unframed answer cut off after its head by a close: "HTTP/1.1 200 OK", Content-Length: 0, connection closed. All other cuts were a 502, or a stream whose chunks have no end. All pass now. TestCutOffAnswerIsReplaced and TestHeadRequestNeedsNoBody passed before; the latter fails without the exception for HEAD. The stand-in can cut off an answer after any byte.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,8 @@
 	// errLargeFailure and errLargeBody report a body that is longer than an engine's response can be.
 	errLargeFailure = errors.New("failure response exceeds 64 KiB")
 	errLargeBody    = errors.New("response without a length exceeds 64 MiB")
+	// errNoBody reports a success without a length whose connection ended before its body.
+	errNoBody = errors.New("the connection ended before the body")
 	// errNotResumed reports a status of 300 or above in response to an attempt that resumes a stream.
 	errNotResumed = errors.New("engine did not resume the stream")
 )
@@ -221,6 +223,10 @@
 	}
 	held := &heldResponse{status: a.exchange.Response.StatusCode, header: a.exchange.Response.Header, body: body}
 	switch {
+	case len(body) == 0 && held.status < 300 && a.exchange.EndsWithConnection() && a.r.Method != http.MethodHead:
+		// Without a byte of the body the end of the connection can't be told from a break.
+		a.fail(router.Broken, errNoBody)
+		return
 	case len(body) > maxHeldBytes && held.status >= 300:
 		a.fail(router.Broken, errLargeFailure)
 		return
