internal/daemon: a success without a length whose connection ends before its body is broken off

Callers of plain services and of unstreamed chats got an empty 200 when an engine had sent the head of a response with neither a length nor chunks, and its connection was closed. For a call that must not repeat the empty answer was also recorded as its outcome and replayed to every caller that sent it again. The end of the connection ends such a response, so the break looked like its end, as in the gateway. The attempt now counts as broken; HEAD is excepted.

Evidence: TestUnframedAnswerWithoutBody failed before: status 200 without an outcome for a plain call, an order, the same order again and a chat. It passes now. TestUnframedAnswerIsForwarded passed before and passes.

--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -259,7 +259,7 @@
 		return resultOf(ctx, x, err)
 	}
 	isJSON := strings.HasPrefix(res.Header.Get("Content-Type"), "application/json")
-	if len(body) > maxResponseBytes || (isJSON && !json.Valid(body)) {
+	if len(body) > maxResponseBytes || endedBeforeBody(res, len(body)) || (isJSON && !json.Valid(body)) {
 		return wire.ResultBroken
 	}
 	c.scanChunk(body)
--- a/internal/daemon/plain.go
+++ b/internal/daemon/plain.go
@@ -98,6 +98,9 @@
 	reader := progressReader{r: res.Body, x: x}
 	for {
 		n, err := reader.Read(buf)
+		if err == io.EOF && endedBeforeBody(res, p.responseBytes+n) {
+			return wire.ResultBroken
+		}
 		if n > 0 || err == io.EOF {
 			if writeErr := p.writeResponse(res, buf[:n]); writeErr != nil {
 				return p.finishAfterWriteError(reader)
--- /dev/null
+++ b/internal/daemon/unframed_test.go
@@ -0,0 +1,61 @@
+package daemon_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/internal/fleettest"
+)
+
+// answerUnframed answers with neither a length nor chunks, so that the end of the connection ends the answer.
+func answerUnframed(body string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+body)
+		_ = conn.Close()
+	})
+}
+
+// Guards against an answer without a length whose connection ended before its body and that counts as whole: the
+// caller gets an empty success, which is also recorded as the outcome of a call that must not repeat.
+func TestUnframedAnswerWithoutBody(t *testing.T) {
+	engine := httptest.NewServer(answerUnframed(""))
+	defer engine.Close()
+	f := fleettest.Start(t, fleettest.Options{
+		Instances: 1, ServiceHandler: answerUnframed(""), EngineAddrs: []string{engine.Listener.Addr().String()},
+	})
+	base := "http://" + f.Nodes[0].Settings.CallerAddr
+	key := []string{"Authorization", "Bearer " + fleettest.APIKey}
+	order := append([]string{"Idempotency-Key", "k"}, key...)
+	for _, c := range []struct {
+		method, path, body string
+		header             []string
+	}{
+		{http.MethodGet, "/v1/services/orders/x", "", key},
+		{http.MethodPost, "/v1/services/orders/orders", "{}", order},
+		{http.MethodPost, "/v1/services/orders/orders", "{}", order},
+		{http.MethodPost, "/v1/chat/completions", strings.Replace(chatBody, "true", "false", 1), key},
+	} {
+		status, outcome, body := send(t, c.method, base+c.path, c.body, c.header...)
+		require.GreaterOrEqual(t, status, 500, "%s %s", c.method, c.path)
+		require.Equal(t, "unknown", outcome, "%s %s: %s", c.method, c.path, body)
+	}
+	status, _, _ := send(t, http.MethodHead, base+"/v1/services/orders/x", "", key...)
+	require.Equal(t, http.StatusOK, status)
+}
+
+// Guards against a whole answer without a length that counts as broken.
+func TestUnframedAnswerIsForwarded(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Instances: 1, ServiceHandler: answerUnframed("whole")})
+	status, _, body := send(t, http.MethodGet, "http://"+f.Nodes[0].Settings.CallerAddr+"/v1/services/orders/x", "", "Authorization", "Bearer "+fleettest.APIKey)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "whole", body)
+}
