internal/gateway: a response that breaks off is reset for callers that speak HTTP/1.0

A caller that speaks HTTP/1.0 took a stream, or a long response without a length, that had broken off for complete. HTTP/1.0 has no chunks, so the end of the connection ends the body, and the gateway closed the connection to show that the response is incomplete. It now resets the connection of such a caller; HTTP/1.1 callers see chunks without an end as before.

Evidence: TestBrokenStreamIsResetForHTTP10 failed before: all bytes, then a clean close instead of a reset. It passes now, five times of five with the race detector.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -206,9 +207,26 @@
 
 // abortConnection closes the connection, so that the caller sees that the response is incomplete.
 func (c *callerRequest) abortConnection() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		c.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection resets the connection, because HTTP/1.0 has no chunks: a close would end the body as complete.
+func (c *callerRequest) resetConnection() {
+	conn, _, err := c.responseController.Hijack()
+	if err != nil {
+		return
+	}
+	if wrapped, ok := conn.(*callerConn); ok {
+		if tcp, ok := wrapped.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	_ = conn.Close()
+}
+
 // errorBody is the JSON body of the gateway's own error responses.
 type errorBody struct {
 	Error struct {
