internal/daemon: a reset that the write of a call met doesn't end an answer as whole

Callers of plain services could get a 200 with a part of the answer, framed as whole, when an engine answered a long call with neither a length nor chunks and its connection was reset, or timed out, before the call was written. Cause, as in the gateway: the kernel reports the error of a connection once. If the write met it, the read found only the end of the connection.

Connections to engines now remember the error of the last write. A read that finds the end of the connection ends a running write and returns its error, unless the engine had ended its side before the reset (EPIPE).

--- a/internal/daemon/unframed_test.go
+++ b/internal/daemon/unframed_test.go
@@ -1,15 +1,19 @@
 package daemon_test
 
 import (
+	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrywell/bilberrywell/internal/fleettest"
+	"github.com/bilberrywell/bilberrywell/internal/settings"
 )
 
 // answerUnframed answers with neither a length nor chunks, so that the end of the connection ends the answer.
@@ -59,3 +63,40 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, "whole", body)
 }
+
+// Guards against an answer without a length that is forwarded as whole although its connection was reset, because the
+// write of a long request has met the error and the read finds only the end of the connection.
+func TestUnframedAnswerResetWhileTheCallIsWritten(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{
+		Instances:      1,
+		AdjustSettings: func(s *settings.Settings) { s.MaxRequestBodyBytes = 16 << 20 },
+		ServiceHandler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			// The rest of the call exceeds the buffers of both ends, so that its write blocks.
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}),
+	})
+	body := make([]byte, 16<<20)
+	whole := 0
+	for range 10 {
+		r, err := http.NewRequest(http.MethodPut, "http://"+f.Nodes[0].Settings.CallerAddr+"/v1/services/orders/x", bytes.NewReader(body))
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+fleettest.APIKey)
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			continue
+		}
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, response.Body.Close())
+		if err == nil && response.StatusCode == http.StatusOK {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of 10 answers")
+}
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -51,7 +51,11 @@
 
 // dial opens a connection within dialTimeout.
 func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &engineConn{Conn: conn}, nil
 }
 
 func newTransport() *http.Transport {
