--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -139,10 +139,11 @@
 	require.Len(t, conns, 2)
 }
 
-// Guards against an earlier rejection without an id, sent again on a kept connection, that is taken for the
-// response, and against a rejection without an id on a new connection that is not.
+// Guards against an earlier rejection without an id, sent again on a connection that has carried a response,
+// that is taken for the response, and against a rejection without an id on a new connection that is not.
 func TestUnnamedRejection(t *testing.T) {
 	const rejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	const foreign = "HTTP/1.1 503 Service Unavailable\r\nId: other\r\nContent-Length: 4\r\n\r\nfull"
 	for name, c := range map[string]struct {
 		responses []string
 		want      string
@@ -150,6 +151,8 @@
 		"first on the connection": {[]string{rejection}, "full"},
 		"sent again":              {[]string{rejection, rejection + ownResponse}, ""},
 		"sent after a success":    {[]string{ownResponse, rejection + ownResponse}, ""},
+		"after a foreign one":     {[]string{foreign + rejection + ownResponse}, ""},
+		"after an interim one":    {[]string{"HTTP/1.1 100 Continue\r\n\r\n" + rejection}, "full"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
@@ -325,3 +328,41 @@
 		})
 	}
 }
+
+// Guards against a response without a length that is taken as whole although its connection was reset, because
+// the write of a long request has met the error and the read finds only the end of the connection.
+func TestUnframedResponseResetWhileTheRequestIsWritten(t *testing.T) {
+	addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\npart")
+		// The rest of the request exceeds the buffers of both ends, so that its write blocks.
+		time.Sleep(50 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	p := upstream.NewPool(nil)
+	whole := 0
+	for range 10 {
+		if _, err := exchange(t, p, addr, 16<<20); err == nil {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of 10 responses")
+}
+
+// Guards against a response without a length that counts as broken because its engine has ended it and closed the
+// connection without reading the rest of the request.
+func TestUnframedResponseBeforeTheRequestIsRead(t *testing.T) {
+	addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nok")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		// The connection is reset after the exchange has had time to read the end of the response.
+		time.Sleep(50 * time.Millisecond)
+	})
+	p := upstream.NewPool(nil)
+	for range 10 {
+		got, err := exchange(t, p, addr, 16<<20)
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+	}
+}
