internal/router: a large response that breaks off is not followed by another engine's

Callers would see, on an idempotent route, the part of one response with another response appended: 100,000 bytes of the first and 200,000 of the second in one chunked body that ended as complete, or 100,005 bytes with a small second response. After the part, the request was also sent to up to three more engines whose failure nobody could get.

Cause: responses over 64 KiB are forwarded as they arrive. When one broke off, mayRetry looked at the kind of the route only and not at whether a part had reached the caller.

Change: no attempt follows a delivered part unless the route is a stream. The instance closes the caller's connection, as it already did when attempts were used up. Nor may such a response be ended as stalled in favour of another engine.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -242,6 +242,8 @@
 
 // forwardLarge forwards a response that is too large to be held, beginning with the part already read.
 func (a *attempt) forwardLarge(held *heldResponse) {
+	// No other engine can replace the response from here on.
+	a.stallWatch.reset(0)
 	a.writeHead(held.status, held.header, a.exchange.Response.ContentLength)
 	if !a.forwardPart(held.body) {
 		return
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/placement"
+	"github.com/bilberrywell/bilberrywell/routing"
 )
 
 // responseStarted records the load that the engine reports, and that the engine now has the prompt in its
@@ -126,6 +127,9 @@
 func (r *Router) mayRetry(c *call, pending int) bool {
 	runs := c.possibleRuns + pending
 	switch {
+	case c.partDelivered && c.route.Kind != routing.Streaming:
+		// The caller would take another response for the rest of this one.
+		return false
 	case r.now+minRetryTime >= c.deadline || len(c.triedEngines)+pending >= maxTries:
 		return false
 	case runs == 0:
