internal/gateway: a resumed stream without a further event is not complete

Callers would see a stream that ended as complete after event 3 of 6, if it broke off inside event 4 and the next engine answered 200 and ended without an event, or with events that the caller had already.

Cause: the check that the end of a connection before the first event is a break asked whether the caller had the header, which a resumed stream always has. And a framed end without an event was taken at its word, though the part of event 4 shows that one is due.

Change: the check asks whether this attempt has added an event. A stream that broke off inside an event does not end before another one. If it broke off between events, a framed end without an event still completes it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,6 +56,8 @@
 	exchange     *upstream.Exchange
 	responseHead ResponseHead
 	result       router.AttemptEnded
+	// eventForwarded reports whether the attempt has added an event to the caller's stream.
+	eventForwarded bool
 	// stallWatch is nil if the attempt has no header timeout. stalled is set if the router ends the attempt
 	// because its engine is silent.
 	stallWatch *stallWatch
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -37,6 +37,8 @@
 	heldFailure *heldResponse
 	// lastEvent is the id of the last event that was forwarded, or that the caller named.
 	lastEvent string
+	// eventDue reports whether the stream broke off inside an event, so that it is incomplete without another.
+	eventDue bool
 }
 
 // serveCall serves one request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,7 +17,7 @@
 var (
 	errTruncatedEvent = errors.New("the stream ended inside an event")
 	errLargeEvent     = errors.New("stream event exceeds 256 KiB")
-	errNoEvent        = errors.New("the connection ended before the first event")
+	errNoEvent        = errors.New("the stream ended before the next event")
 )
 
 // forwardStream forwards complete events as they arrive. The header is held back until the first event,
@@ -39,12 +39,15 @@
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
+		if err != nil && len(pending) > 0 && a.headerWritten {
+			a.eventDue = true
+		}
 		switch {
 		case err == io.EOF && len(pending) > 0:
 			a.fail(router.Broken, errTruncatedEvent)
 			return
-		case err == io.EOF && !a.headerWritten && a.exchange.EndsWithConnection():
-			// Without an event the end of the connection can't be told from a break.
+		case err == io.EOF && !a.eventForwarded && (a.eventDue || a.exchange.EndsWithConnection()):
+			// Without a new event the end of the connection can't be told from a break.
 			a.fail(router.Broken, errNoEvent)
 			return
 		case err == io.EOF:
@@ -107,6 +110,7 @@
 	if !a.forwardPart(events) {
 		return false
 	}
+	a.eventForwarded, a.eventDue = true, false
 	if err := a.responseController.Flush(); err != nil {
 		a.fail(router.CallerLeft, err)
 		return false
