internal/gateway: a stream is resumed only by a response of its own type

Callers would see, in the middle of a stream that broke off, a page or an object with which the next engine had answered 200, and the stream ended as complete.

Cause: of a response that was to resume a stream only the status and the signature were checked. A body with a blank line passed for an event.

Change: the response must have status 200 and the Content-Type of the first part, parameters aside. Anything else is a break: the caller's connection is closed, or another engine resumes the stream.

Evidence: TestResumedStreamOfAnotherType failed in four of six cases (object with blank lines, page in chunks and without framing, no type) and passes. 204 and an object without blank lines passed before; 204 since a stream that broke off inside an event needs another one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -36,7 +37,7 @@
 	// errLargeFailure and errLargeBody report a body that is longer than an engine's response can be.
 	errLargeFailure = errors.New("failure response exceeds 64 KiB")
 	errLargeBody    = errors.New("response without a length exceeds 64 MiB")
-	// errNotResumed reports a status of 300 or above in response to an attempt that resumes a stream.
+	// errNotResumed reports a response that does not go on with the stream that it was to resume.
 	errNotResumed = errors.New("engine did not resume the stream")
 )
 
@@ -188,8 +189,8 @@
 		a.endRejected()
 	case res.StatusCode < 300 && !a.responseHead.Signed:
 		a.fail(router.Broken, errUnsigned)
-	case a.headerWritten && res.StatusCode >= 300:
-		// The caller has received a part of the stream and would take a failure's body for the rest of it.
+	case a.headerWritten && !a.resumesStream():
+		// The caller has received a part of the stream and would take another body for the rest of it.
 		a.fail(router.Broken, errNotResumed)
 	case res.StatusCode < 300 && a.cmd.Route.Kind == routing.Streaming:
 		a.g.step(router.ResponseStarted{Call: a.id, Report: *a.result.Report})
@@ -199,6 +200,20 @@
 	}
 }
 
+// resumesStream reports whether the response has status 200 and the type of the stream of which the caller has
+// received a part.
+func (a *attempt) resumesStream() bool {
+	res := a.exchange.Response
+	return res.StatusCode == http.StatusOK && mediaType(res.Header) == mediaType(a.w.Header())
+}
+
+// mediaType returns the content type of a header without parameters, or an empty string.
+func mediaType(header http.Header) string {
+	// A parameter that can't be parsed leaves the type; anything else leaves it empty.
+	media, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
+	return media
+}
+
 // endRejected reads the rest of a rejection and ends the attempt, which the engine did not run.
 func (a *attempt) endRejected() {
 	// The connection is reused only if the rejection ends cleanly.
