internal/gateway: a response that is given up for its caller does not end as complete

A caller that closes only its sending side while its request runs would see its stream or large response end as if it were complete, or, before any answer, an empty success: 200 with Content-Length 0 and no signature.

Cause: net/http reports the closed side as the end of the request, the attempt ends as caller_left, and the handler returned. net/http then writes the end of the chunked body, or a response of its own.

Change: unless an engine's whole response was written, the end of such a request closes the connection.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -35,6 +35,8 @@
 	headerWritten bool
 	// heldFailure is an engine's failure response that is held back while another attempt may follow.
 	heldFailure *heldResponse
+	// complete reports whether an engine's whole response was written to the caller.
+	complete bool
 	// lastEvent is the id of the last event that was forwarded, or that the caller named.
 	lastEvent string
 	// eventDue reports whether the stream broke off inside an event, so that it is incomplete without another.
@@ -179,13 +181,20 @@
 func (c *callerRequest) execute(command router.Command) bool {
 	switch command := command.(type) {
 	case router.Send:
-		c.g.step(c.runAttempt(command))
+		ended := c.runAttempt(command)
+		c.complete = ended.Outcome == router.Completed
+		c.g.step(ended)
 		return false
 	case router.DeliverFailure:
 		c.deliverHeld()
 	case router.Refuse:
 		c.refuse(command)
 	case router.Release:
+		if !c.complete {
+			// Otherwise net/http would end the response as if it were complete, or send an empty one. A caller that
+			// has closed only its sending side would receive it.
+			c.abortConnection()
+		}
 	}
 	return true
 }
