internal/router: a stream whose last event has no id is not run again

Callers would see events twice: a stream of events without ids, or whose last event before the break has none, was sent to a second engine, which began again or repeated the last one, and all of that was appended.

Cause: a resumption names the last event that has an id. Without ids it names nothing, and the second run is a whole one.

Change: the gateway reports whether the last forwarded event with data has no id; no attempt follows such a part, and the engine is not ended as stalled. Comments need no id.

Evidence: TestBrokenStreamWithoutIDs (five events instead of two, ended as complete) and TestBrokenStreamWithoutAnIDIsNotRepeated in internal/router failed and pass. TestBrokenStreamAfterAComment passed before and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,7 +74,7 @@
 		defer a.watchForStalls(cancel)()
 	}
 	a.run()
-	a.result.Delivered = c.headerWritten
+	a.result.Delivered, a.result.EndsWithoutID = c.headerWritten, c.endsWithoutID
 	return a.result
 }
 
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -39,6 +39,8 @@
 	complete bool
 	// lastEvent is the id of the last event that was forwarded, or that the caller named.
 	lastEvent string
+	// endsWithoutID reports whether the last event that was forwarded has no id.
+	endsWithoutID bool
 	// eventDue reports whether the stream broke off inside an event, so that it is incomplete without another.
 	eventDue bool
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,6 +111,10 @@
 		return false
 	}
 	a.eventForwarded, a.eventDue = true, false
+	if a.endsWithoutID {
+		// No other engine can go on with the stream, so that the engine may take its time.
+		a.stallWatch.reset(0)
+	}
 	if err := a.responseController.Flush(); err != nil {
 		a.fail(router.CallerLeft, err)
 		return false
@@ -119,17 +123,19 @@
 }
 
 // skipDelivered removes events that the caller already has and records the id of the last event that
-// remains.
+// remains, or that it has none.
 func (a *attempt) skipDelivered(events []byte) []byte {
 	rest := events
 	for len(rest) > 0 {
 		end := firstEventEnd(rest)
-		if id, ok := eventID(rest[:end]); ok {
-			if idAtMost(id, a.lastEvent) {
-				events = rest[end:]
-			} else {
-				a.lastEvent = string(id)
-			}
+		id, ok := eventID(rest[:end])
+		switch {
+		case ok && idAtMost(id, a.lastEvent):
+			events = rest[end:]
+		case ok:
+			a.lastEvent, a.endsWithoutID = string(id), false
+		case hasData(rest[:end]):
+			a.endsWithoutID = true
 		}
 		rest = rest[end:]
 	}
@@ -147,6 +153,7 @@
 	eventEnd     = []byte("\n\n")
 	crlfEventEnd = []byte("\r\n\r\n")
 	idField      = []byte("id:")
+	dataField    = []byte("data")
 )
 
 // firstEventEnd returns the length of the first event, or the length of data if no event is complete.
@@ -173,6 +180,11 @@
 	return end
 }
 
+// hasData reports whether an event has data. Comments have none.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, append([]byte("\n"), dataField...))
+}
+
 // eventID returns the id of an event.
 func eventID(event []byte) ([]byte, bool) {
 	for _, line := range bytes.Split(event, []byte("\n")) {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -54,6 +54,7 @@
 		return
 	}
 	c.partDelivered = c.partDelivered || ev.Delivered
+	c.endsWithoutID = ev.EndsWithoutID
 	if pool := r.pools[c.service]; pool != nil {
 		pool.engines.Ended(c.engine)
 		r.recordPace(pool, c.engine, ev.EventGap)
@@ -127,7 +128,7 @@
 func (r *Router) mayRetry(c *call, pending int) bool {
 	runs := c.possibleRuns + pending
 	switch {
-	case c.partDelivered && c.route.Kind != routing.Streaming:
+	case c.partDelivered && (c.route.Kind != routing.Streaming || c.endsWithoutID):
 		// The caller would take another response for the rest of this one.
 		return false
 	case r.now+minRetryTime >= c.deadline || len(c.triedEngines)+pending >= maxTries:
--- a/internal/router/broken_test.go
+++ b/internal/router/broken_test.go
@@ -53,3 +53,13 @@
 	require.False(t, sent)
 	require.Equal(t, MayHaveRun, must[Refuse](s).Refusal)
 }
+
+// Guards against a second run of a stream that can't go on where it broke off.
+func TestBrokenStreamWithoutAnIDIsNotRepeated(t *testing.T) {
+	s := newSession(t, 3)
+	s.call("/chat/x")
+	s.step(AttemptEnded{Call: s.last, Outcome: Broken, Delivered: true, EndsWithoutID: true})
+	_, sent := find[Send](s)
+	require.False(t, sent)
+	require.Equal(t, MayHaveRun, must[Refuse](s).Refusal)
+}
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -73,6 +73,8 @@
 	reachedAttempts, possibleRuns int
 	// partDelivered reports whether a part of a response has reached the caller.
 	partDelivered bool
+	// endsWithoutID reports whether the last event of that part has no id.
+	endsWithoutID bool
 	// heldFrom is the engine whose failure response is held back, or empty.
 	heldFrom fleet.EngineID
 }
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -105,6 +105,9 @@
 	Outcome Outcome
 	// Delivered reports whether a part of a response has reached the caller.
 	Delivered bool
+	// EndsWithoutID reports whether the last event that has reached the caller has no id. No engine can go on with
+	// the stream after it.
+	EndsWithoutID bool
 	// FirstByte is the time from sending to the header of the response; 0 without one.
 	FirstByte time.Duration
 	// EventGap is the mean time between the events of a stream; 0 if it had fewer than two.
