internal/daemon: a response that is given up for its caller does not end as complete

The daemon had the same fault as the gateway: a caller that closes only its sending side while its request runs would see the response of a plain service end as if it were complete, or, before any answer, an empty 200.

Cause: when the caller's request context ended, or the attempt as canceled, the handler returned and net/http ended the response.

Change: both close the connection.

--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -79,7 +79,7 @@
 		select {
 		case <-r.Context().Done():
 			d.loop.post(core.CallerDisconnected{Request: id})
-			return
+			abandonResponse()
 		case cmd := <-commands:
 			if d.executeCommand(r.Context(), id, cmd, res) {
 				return
@@ -88,6 +88,11 @@
 	}
 }
 
+// abandonResponse closes the connection of a caller that has disconnected. Otherwise net/http would end the
+// response as if it were complete, or send an empty one. A caller that has closed only its sending side would
+// receive it.
+func abandonResponse() { panic(http.ErrAbortHandler) }
+
 // executeCommand executes a command for a request. It returns true when the request has ended.
 func (d *Daemon) executeCommand(ctx context.Context, id core.RequestID, cmd core.Effect, res responder) bool {
 	switch cmd := cmd.(type) {
@@ -96,7 +101,10 @@
 			d.loop.post(core.FirstByte{Request: id, Attempt: cmd.Attempt})
 		})
 		d.loop.post(end)
-		return end.Result == wire.ResultComplete || end.Result == wire.ResultCanceled
+		if end.Result == wire.ResultCanceled {
+			abandonResponse()
+		}
+		return end.Result == wire.ResultComplete
 	case core.FailRequest:
 		res.fail(newCallerError(cmd))
 		return true
