internal/daemon: a stream is resumed only by an event stream

Callers would see the text of an engine's error in the middle of a chat that broke off, if the next engine answered the resumption 200 with another type of body and a blank line in it. The stream still ended with an error event.

Cause: of such an answer only the status was checked, as in the gateway.

--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -142,15 +142,15 @@
 	if !c.daemon.matchesAttempt(res, cmd) {
 		return wire.ResultBroken
 	}
+	isStream := strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
+	if c.responseStarted && (res.StatusCode != http.StatusOK || !isStream) {
+		// The engine did not continue the stream, and nothing else can be forwarded in the middle of it.
+		return wire.ResultBroken
+	}
 	if c.stream && res.StatusCode == http.StatusOK {
 		err := c.copyStream(progressReader{r: res.Body, x: x})
 		return streamResult(ctx, x, err)
 	}
-	if c.responseStarted {
-		// The engine answered a continued stream with an error, which can't be forwarded in the
-		// middle of the stream.
-		return wire.ResultBroken
-	}
 	return c.copyUnstreamed(ctx, res, x)
 }
 
