--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -38,7 +39,7 @@
 	errLargeBody    = errors.New("response without a length exceeds 64 MiB")
 	// errNoBody reports a success without a length whose connection ended before its body.
 	errNoBody = errors.New("the connection ended before the body")
-	// errNotResumed reports a status of 300 or above in response to an attempt that resumes a stream.
+	// errNotResumed reports a response that does not go on with the stream that it was to resume.
 	errNotResumed = errors.New("engine did not resume the stream")
 )
 
@@ -58,6 +59,8 @@
 	exchange     *upstream.Exchange
 	responseHead ResponseHead
 	result       router.AttemptEnded
+	// eventForwarded reports whether the attempt has added an event to the caller's stream.
+	eventForwarded bool
 	// stallWatch is nil if the attempt has no header timeout. stalled is set if the router ends the attempt
 	// because its engine is silent.
 	stallWatch *stallWatch
@@ -73,7 +76,7 @@
 		defer a.watchForStalls(cancel)()
 	}
 	a.run()
-	a.result.Delivered = c.headerWritten
+	a.result.Delivered, a.result.EndsWithoutID = c.headerWritten, c.endsWithoutID
 	return a.result
 }
 
@@ -188,8 +191,8 @@
 		a.endRejected()
 	case res.StatusCode < 300 && !a.responseHead.Signed:
 		a.fail(router.Broken, errUnsigned)
-	case a.headerWritten && res.StatusCode >= 300:
-		// The caller has received a part of the stream and would take a failure's body for the rest of it.
+	case a.headerWritten && !a.resumesStream():
+		// The caller has received a part of the stream and would take another body for the rest of it.
 		a.fail(router.Broken, errNotResumed)
 	case res.StatusCode < 300 && a.cmd.Route.Kind == routing.Streaming:
 		a.g.step(router.ResponseStarted{Call: a.id, Report: *a.result.Report})
@@ -199,6 +202,20 @@
 	}
 }
 
+// resumesStream reports whether the response has status 200 and the type of the stream of which the caller has
+// received a part.
+func (a *attempt) resumesStream() bool {
+	res := a.exchange.Response
+	return res.StatusCode == http.StatusOK && mediaType(res.Header) == mediaType(a.w.Header())
+}
+
+// mediaType returns the content type of a header without parameters, or an empty string.
+func mediaType(header http.Header) string {
+	// A parameter that can't be parsed leaves the type; anything else leaves it empty.
+	media, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
+	return media
+}
+
 // endRejected reads the rest of a rejection and ends the attempt, which the engine did not run.
 func (a *attempt) endRejected() {
 	// The connection is reused only if the rejection ends cleanly.
@@ -248,6 +265,8 @@
 
 // forwardLarge forwards a response that is too large to be held, beginning with the part already read.
 func (a *attempt) forwardLarge(held *heldResponse) {
+	// No other engine can replace the response from here on.
+	a.stallWatch.reset(0)
 	a.writeHead(held.status, held.header, a.exchange.Response.ContentLength)
 	if !a.forwardPart(held.body) {
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,7 +17,7 @@
 var (
 	errTruncatedEvent = errors.New("the stream ended inside an event")
 	errLargeEvent     = errors.New("stream event exceeds 256 KiB")
-	errNoEvent        = errors.New("the connection ended before the first event")
+	errNoEvent        = errors.New("the stream ended before the next event")
 )
 
 // forwardStream forwards complete events as they arrive. The header is held back until the first event,
@@ -39,12 +39,15 @@
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
+		if err != nil && len(pending) > 0 && a.headerWritten {
+			a.eventDue = true
+		}
 		switch {
 		case err == io.EOF && len(pending) > 0:
 			a.fail(router.Broken, errTruncatedEvent)
 			return
-		case err == io.EOF && !a.headerWritten && a.exchange.EndsWithConnection():
-			// Without an event the end of the connection can't be told from a break.
+		case err == io.EOF && !a.eventForwarded && (a.eventDue || a.exchange.EndsWithConnection()):
+			// Without a new event the end of the connection can't be told from a break.
 			a.fail(router.Broken, errNoEvent)
 			return
 		case err == io.EOF:
@@ -109,6 +112,11 @@
 	if !a.forwardPart(events) {
 		return false
 	}
+	a.eventForwarded, a.eventDue = true, false
+	if a.endsWithoutID {
+		// No other engine can go on with the stream, so that the engine may take its time.
+		a.stallWatch.reset(0)
+	}
 	if err := a.responseController.Flush(); err != nil {
 		a.fail(router.CallerLeft, err)
 		return false
@@ -117,17 +125,19 @@
 }
 
 // skipDelivered removes events that the caller already has and records the id of the last event that
-// remains.
+// remains, or that it has none.
 func (a *attempt) skipDelivered(events []byte) []byte {
 	rest := events
 	for len(rest) > 0 {
 		end := firstEventEnd(rest)
-		if id, ok := eventID(rest[:end]); ok {
-			if idAtMost(id, a.lastEvent) {
-				events = rest[end:]
-			} else {
-				a.lastEvent = string(id)
-			}
+		id, ok := eventID(rest[:end])
+		switch {
+		case ok && idAtMost(id, a.lastEvent):
+			events = rest[end:]
+		case ok:
+			a.lastEvent, a.endsWithoutID = string(id), false
+		case hasData(rest[:end]):
+			a.endsWithoutID = true
 		}
 		rest = rest[end:]
 	}
@@ -145,6 +155,7 @@
 	eventEnd     = []byte("\n\n")
 	crlfEventEnd = []byte("\r\n\r\n")
 	idField      = []byte("id:")
+	dataField    = []byte("data")
 )
 
 // firstEventEnd returns the length of the first event, or the length of data if no event is complete.
@@ -171,6 +182,11 @@
 	return end
 }
 
+// hasData reports whether an event has data. Comments have none.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, append([]byte("\n"), dataField...))
+}
+
 // eventID returns the id of an event.
 func eventID(event []byte) ([]byte, bool) {
 	for _, line := range bytes.Split(event, []byte("\n")) {
