internal/router: a stopping instance refuses what may outlast it

What callers saw: in a planned stop a request that may not be repeated was taken late in the grace, passed on to an engine, and cut off without an answer when the grace ended.

Cause: an instance that stops took every request that it had read until its process ended, however little time was left. Most late requests are those whose bodies were on their way when the listener closed: a body may take as long as its caller waits. Further attempts began in the same way.

Evidence: TestLateRequestThatMayOutlastTheStopIsRefused (a body that ends at half of the grace, an engine that needs longer than the rest) failed: the request ran and its connection ended without an answer. TestRequestsOfAStoppingInstance, TestRequestThatUsuallyOutlastsTheStopIsRefused and TestFurtherAttemptsOfAStoppingInstance failed: such requests were sent.

Change: the router knows the time by which requests must have their answers (DrainLimit). Before each attempt of a stopping instance it compares it with the request's deadline. What ends by then is taken. During drain_wait, when callers may have no other instance, all else is taken too, except on routes that usually take longer than what is left. After that, what may outlast the stop is taken only if it may be repeated and its route nearly always (mean and four mean deviations) needs less. The others are refused at once with 503 `stopping`, which is true: they have not run. A second signal or new settings change nothing in this (TestSignalsDuringAStop).

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -292,6 +292,7 @@
 	"unknown_key":      "no customer of the configuration in force holds the API key",
 	"quarantined":      "engines crashed while they ran this request, or others with a part of its prompt, and it is refused",
 	"no_engine":        "no engine that was not tried already could take the request",
+	"stopping":         "the instance was about to stop, and the request could take longer than the time that was left",
 	"engines_quiet":    "all engines that could take the request had asked this instance for no requests",
 	"rate_limited":     "the rate limits that engines have named admitted no further request",
 	"retry_budget":     "an engine did not run the request and the budget for further attempts was used up",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,8 +36,10 @@
 	tickInterval = 50 * time.Millisecond
 	// maintenanceInterval is the time between checks for expired idle connections and changed settings.
 	maintenanceInterval = time.Second
-	// exitMargin is the part of the stop grace that is reserved for closing connections.
-	exitMargin = 300 * time.Millisecond
+	// exitMargin is the part of the stop grace that is reserved for closing connections, and answerMargin the part
+	// before it for final responses to the requests that are still open.
+	exitMargin   = 300 * time.Millisecond
+	answerMargin = 200 * time.Millisecond
 	// settleTime is how long a stopping instance without requests waits for one on a connection that was just
 	// accepted, whose header is still on its way.
 	settleTime = 100 * time.Millisecond
@@ -137,6 +139,7 @@
 		RetryReserve: s.RetryReserve,
 		RetryWindow:  s.RetryWindow,
 		DrainWait:    s.DrainWait,
+		DrainLimit:   max(s.StopGrace-exitMargin-answerMargin, time.Millisecond),
 		LoadFactor:   loadMargin * s.LoadLimit,
 	}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -158,6 +158,7 @@
 		}
 		r.markAnswered(c)
 		stats.succeeded(r.now, ev.FirstByte)
+		stats.took.add(r.now - c.Arrived)
 		pool.engines.Succeeded(r.now, c.engine, ev.FirstByte, stats.meanLatency)
 	case Unsent:
 		r.engineUnreachable(c.engine)
@@ -196,6 +197,8 @@
 	decayedAt           time.Duration
 	// meanLatency is the mean time to the first byte.
 	meanLatency time.Duration
+	// took describes the time from arrival to the end of the response.
+	took spread
 }
 
 const (
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -188,6 +188,10 @@
 
 // place chooses an engine for a request and sends it there.
 func (r *Router) place(c *call) {
+	if !r.endsInTime(c) {
+		r.giveUpFor(c, "stopping", stoppingRetryAfter)
+		return
+	}
 	pool := r.pools[c.service]
 	if pool == nil || len(c.triedEngines) >= maxTries {
 		r.giveUp(c, "no_engine")
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -1,6 +1,13 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/routing"
+)
+
+// stoppingRetryAfter is the Retry-After of requests that a stopping instance refuses. Callers reach another instance.
+const stoppingRetryAfter = 50 * time.Millisecond
 
 // drainState is the state of a requested stop.
 type drainState struct {
@@ -40,3 +47,25 @@
 	r.emit(Decision{Kind: "drained"})
 	r.emit(Drained{})
 }
+
+// endsInTime reports whether an attempt for a request may begin: while the instance stops, only if the request will
+// have its response before DrainLimit. Until DrainWait has passed, callers may have no other instance, and only a
+// request that usually takes longer than what is left is refused. After that the request must end by its own deadline
+// or, if it may be repeated, nearly always in time. A stream that has begun can only be cut.
+func (r *Router) endsInTime(c *call) bool {
+	if !r.drain.active {
+		return true
+	}
+	end := r.drain.requestedAt + r.cfg.DrainLimit
+	left := end - r.now
+	took := &r.statsOf(c.route.Name).took
+	switch {
+	case left <= 0:
+		return false
+	case c.deadline <= end:
+		return true
+	case r.now-r.drain.requestedAt < r.cfg.DrainWait:
+		return took.usual() <= left
+	}
+	return c.route.Kind == routing.Idempotent && took.known() && took.atMost() <= left
+}
--- a/internal/router/enginetokens.go
+++ b/internal/router/enginetokens.go
@@ -72,7 +72,7 @@
 	switch {
 	case r.calls[p.call.ID] != p.call:
 		// The caller has left.
-	case admitted && pool != nil && pool.engines.Accepts(r.now, p.choice.Engine.ID):
+	case admitted && pool != nil && pool.engines.Accepts(r.now, p.choice.Engine.ID) && r.endsInTime(p.call):
 		r.send(p.call, pool, p.choice)
 	default:
 		p.call.deniedEngines = append(p.call.deniedEngines, p.choice.Engine.ID)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,9 @@
 	// DrainWait is how long a stopping instance still accepts new requests, so that the balancer has
 	// time to notice that it is not ready. Default 2.5 s.
 	DrainWait time.Duration
+	// DrainLimit is the time from the request to stop until the requests that are still open get a final
+	// response, because the process ends soon. Default 7.5 s.
+	DrainLimit time.Duration
 	// LoadFactor is the highest load of an engine as a multiple of its pool's mean load. Default 1.5.
 	LoadFactor float64
 }
@@ -67,6 +70,7 @@
 	c.RetryWindow = cmp.Or(c.RetryWindow, 10*time.Second)
 	c.ReregistrationGrace = cmp.Or(c.ReregistrationGrace, 2*time.Second)
 	c.DrainWait = cmp.Or(c.DrainWait, 2500*time.Millisecond)
+	c.DrainLimit = cmp.Or(c.DrainLimit, 7500*time.Millisecond)
 }
 
 // Router is the state of one instance. It is not safe for concurrent use.
