gateway, router: at the end of the grace every open request gets an answer

What callers saw: when the grace of a planned stop ended, all requests in flight were cut off without an answer, and so were requests whose bodies were still on their way. A caller could not tell whether its request had run.

Cause: at the end of the grace the process closed its connections; nothing told the requests before.

The new tests in internal/router need the new effects; before, the router sent nothing at that time.

What has not left the instance, or was not read, gets 503 `stopping`, what may have run gets 502. An engine is not blamed for this. Requests that wait for a configuration or for the owner of an engine's rate limit are refused at once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,10 +56,10 @@
 	exchange     *upstream.Exchange
 	responseHead ResponseHead
 	result       router.AttemptEnded
-	// stallWatch is nil if the attempt has no header timeout. stalled is set if the router ends the attempt
-	// because its engine is silent.
+	// stallWatch is nil if the attempt has no header timeout.
 	stallWatch *stallWatch
-	stalled    atomic.Bool
+	// endedAs is the outcome with which the router ended the attempt, or 0.
+	endedAs atomic.Uint32
 }
 
 // attempt sends the request to an engine and forwards the response.
@@ -67,11 +67,13 @@
 	ctx, cancel := c.callContext(cmd.Deadline)
 	defer cancel()
 	a := &attempt{callerRequest: c, cmd: cmd, ctx: ctx, sentAt: c.g.now(), result: router.AttemptEnded{Call: c.id}}
+	c.g.calls.setAttempt(c.id, func(as router.Outcome) { a.end(as, cancel) })
+	defer c.g.calls.setAttempt(c.id, nil)
 	if cmd.HeaderTimeout > 0 {
-		defer a.watchForStalls(cancel)()
+		defer a.watchForStalls()()
 	}
 	a.run()
-	a.result.Delivered = c.headerWritten
+	a.result.Delivered = c.headerWritten.Load()
 	return a.result
 }
 
@@ -97,20 +99,22 @@
 	a.forwardResponse()
 }
 
+// end ends the attempt with an outcome, on another goroutine. A response that has begun is not interrupted.
+func (a *attempt) end(as router.Outcome, cancel context.CancelFunc) {
+	if as == router.Interrupted && a.headerWritten.Load() {
+		return
+	}
+	a.endedAs.CompareAndSwap(0, uint32(as))
+	cancel()
+}
+
 // watchForStalls reports when the engine exceeds the header or gap timeout. The returned function ends the
 // watch.
-func (a *attempt) watchForStalls(cancel context.CancelFunc) (stop func()) {
-	a.g.calls.setStalled(a.id, func() {
-		a.stalled.Store(true)
-		cancel()
-	})
+func (a *attempt) watchForStalls() (stop func()) {
 	a.stallWatch = newStallWatch(a.cmd.HeaderTimeout, func() {
 		a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID})
 	})
-	return func() {
-		a.stallWatch.reset(0)
-		a.g.calls.setStalled(a.id, nil)
-	}
+	return func() { a.stallWatch.reset(0) }
 }
 
 // request builds the engine's copy of the request.
@@ -169,8 +173,8 @@
 	switch {
 	case a.callerDisconnected():
 		outcome = router.CallerLeft
-	case a.stalled.Load() && outcome != router.Unsent:
-		outcome = router.Stalled
+	case a.endedAs.Load() != 0 && outcome != router.Unsent:
+		outcome = router.Outcome(a.endedAs.Load())
 	case outcome != router.Unsent && (a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)):
 		outcome = router.TimedOut
 	}
@@ -186,7 +190,7 @@
 		a.endRejected()
 	case res.StatusCode < 300 && !a.responseHead.Signed:
 		a.fail(router.Broken, errUnsigned)
-	case a.headerWritten && res.StatusCode >= 300:
+	case a.headerWritten.Load() && res.StatusCode >= 300:
 		// The caller has received a part of the stream and would take a failure's body for the rest of it.
 		a.fail(router.Broken, errNotResumed)
 	case res.StatusCode < 300 && a.cmd.Route.Kind == routing.Streaming:
@@ -326,6 +330,6 @@
 		// Keeps net/http from guessing a type that the engine did not send.
 		header["Content-Type"] = nil
 	}
-	c.headerWritten = true
+	c.headerWritten.Store(true)
 	c.w.WriteHeader(status)
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,7 +33,7 @@
 	body               []byte
 
 	// headerWritten reports whether the header of an engine's response was written to the caller.
-	headerWritten bool
+	headerWritten atomic.Bool
 	// heldFailure is an engine's failure response that is held back while another attempt may follow.
 	heldFailure *heldResponse
 	// lastEvent is the id of the last event that was forwarded, or that the caller named.
@@ -118,7 +119,10 @@
 	if err := c.responseController.SetReadDeadline(time.Now().Add(within)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if !c.receiveBody() {
+	c.g.calls.startReading(c.id, func() { _ = c.responseController.SetReadDeadline(time.Now()) })
+	whole := c.receiveBody()
+	c.g.calls.stopReading(c.id)
+	if !whole {
 		// The deadline stays: net/http reads what is left of the body before it closes the connection.
 		return false
 	}
@@ -128,13 +132,17 @@
 	return true
 }
 
-// bodyFailed refuses a request whose body did not arrive in time, and closes the connection if the body
-// broke off. It returns false, as receiveBody then does.
+// bodyFailed refuses a request whose body did not arrive in time, or before the instance stops, and closes the
+// connection if the body broke off. It returns false, as receiveBody then does.
 func (c *callerRequest) bodyFailed(err error) bool {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		panic(http.ErrAbortHandler)
 	}
 	c.w.Header().Set("Connection", "close")
+	if refusal := c.g.calls.unreadRefusal(); refusal != nil {
+		c.writeError(refusalStatus[router.NotRun], refusal.Code, refusal.RetryAfter)
+		return false
+	}
 	c.writeError(http.StatusRequestTimeout, "body_too_slow", 0)
 	return false
 }
@@ -198,7 +206,7 @@
 }
 
 func (c *callerRequest) refuse(command router.Refuse) {
-	if c.headerWritten {
+	if c.headerWritten.Load() {
 		c.abortConnection()
 	}
 	c.writeError(refusalStatus[command.Refusal], command.Code, command.RetryAfter)
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -15,36 +15,76 @@
 	mu     sync.Mutex
 	lastID router.CallID
 	open   map[router.CallID]chan router.Command
-	// stalled holds the function that ends the running attempt of a request as stalled.
-	stalled map[router.CallID]func()
+	// attempts holds the function that ends the running attempt of a request with an outcome.
+	attempts map[router.CallID]func(router.Outcome)
+	// reading holds the function that ends the reading of a request's body, and refusal what becomes of such
+	// requests, or nil.
+	reading map[router.CallID]func()
+	refusal *router.RefuseUnreadCalls
 }
 
 func (t *callTable) init() {
 	t.open = make(map[router.CallID]chan router.Command)
-	t.stalled = make(map[router.CallID]func())
+	t.attempts = make(map[router.CallID]func(router.Outcome))
+	t.reading = make(map[router.CallID]func())
 }
 
-// setStalled sets the function that endStalled calls for a request; nil removes it.
-func (t *callTable) setStalled(id router.CallID, end func()) {
+// setAttempt sets the function that endAttempt calls for a request; nil removes it.
+func (t *callTable) setAttempt(id router.CallID, end func(router.Outcome)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if end == nil {
-		delete(t.stalled, id)
+		delete(t.attempts, id)
 		return
 	}
-	t.stalled[id] = end
+	t.attempts[id] = end
 }
 
-// endStalled ends the running attempt of a request as stalled.
-func (t *callTable) endStalled(id router.CallID) {
+// endAttempt ends the running attempt of a request with an outcome.
+func (t *callTable) endAttempt(id router.CallID, as router.Outcome) {
 	t.mu.Lock()
-	end := t.stalled[id]
+	end := t.attempts[id]
 	t.mu.Unlock()
 	if end != nil {
+		end(as)
+	}
+}
+
+// startReading sets the function that ends the reading of a request's body. It is called at once if requests that are
+// not read completely are refused already.
+func (t *callTable) startReading(id router.CallID, end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reading[id] = end
+	if t.refusal != nil {
 		end()
 	}
 }
 
+// stopReading removes the function of startReading.
+func (t *callTable) stopReading(id router.CallID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.reading, id)
+}
+
+// refuseUnread ends the reading of all bodies, from now on.
+func (t *callTable) refuseUnread(refusal router.RefuseUnreadCalls) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refusal = &refusal
+	for _, end := range t.reading {
+		end()
+	}
+}
+
+// unreadRefusal returns what becomes of requests that are not read completely, or nil.
+func (t *callTable) unreadRefusal() *router.RefuseUnreadCalls {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refusal
+}
+
 // add registers a new request and returns its id and its command queue.
 func (t *callTable) add() (router.CallID, <-chan router.Command) {
 	commands := make(chan router.Command, commandQueueSize)
@@ -60,6 +100,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, id)
+	delete(t.reading, id)
 }
 
 // dispatch queues a command for its request. It drops the command if the request has ended.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,7 +207,11 @@
 	case router.Command:
 		g.calls.dispatch(e)
 	case router.EndStalledAttempt:
-		g.calls.endStalled(e.Call)
+		g.calls.endAttempt(e.Call, router.Stalled)
+	case router.EndUnansweredAttempt:
+		g.calls.endAttempt(e.Call, router.Interrupted)
+	case router.RefuseUnreadCalls:
+		g.calls.refuseUnread(e)
 	case router.Decision:
 		g.recordDecision(e)
 	case router.CallDone:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 		case err == io.EOF && len(pending) > 0:
 			a.fail(router.Broken, errTruncatedEvent)
 			return
-		case err == io.EOF && !a.headerWritten && a.exchange.EndsWithConnection():
+		case err == io.EOF && !a.headerWritten.Load() && a.exchange.EndsWithConnection():
 			// Without an event the end of the connection can't be told from a break.
 			a.fail(router.Broken, errNoEvent)
 			return
@@ -86,7 +86,7 @@
 
 // finishStream ends a stream that the engine has ended completely.
 func (a *attempt) finishStream() {
-	if !a.headerWritten {
+	if !a.headerWritten.Load() {
 		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
 	}
 	a.exchange.Finish()
@@ -101,7 +101,7 @@
 	if len(events) == 0 {
 		return true
 	}
-	if !a.headerWritten {
+	if !a.headerWritten.Load() {
 		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
 	}
 	if !a.forwardPart(events) {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -79,6 +79,8 @@
 		r.retryOr(c, func() { r.deliver(c) })
 	case Broken, Stalled:
 		r.retryOr(c, func() { r.refuse(c, MayHaveRun, "engine_lost", 0) })
+	case Interrupted:
+		r.refuse(c, MayHaveRun, "stopping", 0)
 	}
 }
 
@@ -161,7 +163,9 @@
 		stats.took.add(r.now - c.Arrived)
 		pool.engines.Succeeded(r.now, c.engine, ev.FirstByte, stats.meanLatency)
 	case Unsent:
-		r.engineUnreachable(c.engine)
+		if !r.drainOver() {
+			r.engineUnreachable(c.engine)
+		}
 	case Rejected:
 		pool.engines.Failed(r.now, c.engine, placement.Rejected, 0)
 	case Misdirected:
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -116,6 +116,9 @@
 
 // configWait returns how long a request waits for the first configuration.
 func (r *Router) configWait(c *call) time.Duration {
+	if r.drainOver() {
+		return 0
+	}
 	wait := firstConfigTimeout
 	if r.store.lost {
 		wait = lostConfigTimeout
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/routing"
@@ -14,7 +16,9 @@
 	active           bool
 	requestedAt      time.Duration
 	stoppedAccepting bool
-	completed        bool
+	// answering reports whether open requests get their final responses.
+	answering bool
+	completed bool
 }
 
 func (r *Router) drainRequested() {
@@ -40,6 +44,9 @@
 		r.emit(StopAccepting{})
 		r.emit(Decision{Kind: "stopped_accepting", Fields: []any{"calls", len(r.calls)}})
 	}
+	if r.drainOver() {
+		r.endCalls()
+	}
 	if len(r.calls) > 0 {
 		return
 	}
@@ -48,6 +55,24 @@
 	r.emit(Drained{})
 }
 
+// drainOver reports whether the requests that are still open must get their final responses.
+func (r *Router) drainOver() bool {
+	return r.drain.active && r.now-r.drain.requestedAt >= r.cfg.DrainLimit
+}
+
+// endCalls makes the open requests end with a final response. It is repeated, because an attempt may only just begin.
+// Requests without an attempt are refused by their own timers.
+func (r *Router) endCalls() {
+	if !r.drain.answering {
+		r.drain.answering = true
+		r.emit(Decision{Kind: "drain_limit_reached", Fields: []any{"calls", len(r.calls)}})
+		r.emit(RefuseUnreadCalls{Code: "stopping", RetryAfter: stoppingRetryAfter})
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.calls)) {
+		r.emit(EndUnansweredAttempt{Call: id})
+	}
+}
+
 // endsInTime reports whether an attempt for a request may begin: while the instance stops, only if the request will
 // have its response before DrainLimit. Until DrainWait has passed, callers may have no other instance, and only a
 // request that usually takes longer than what is left is refused. After that the request must end by its own deadline
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -91,3 +91,53 @@
 	s.arrive("/get/x")
 	require.Equal(t, "stopping", must[Refuse](s).Code)
 }
+
+// Guards against requests that are still open when the process ends and get no answer, or one that says that they have
+// not run although they may have.
+func TestOpenRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
+	s := drainingSession(t, 2*time.Second)
+	s.r.table.Lookup("h", "/post/x").Timeout = time.Minute
+	s.arrive("/post/x")
+	must[Send](s)
+	s.advance(5450 * time.Millisecond)
+	s.step(Tick{})
+	_, ended := find[EndUnansweredAttempt](s)
+	require.False(t, ended, "before the limit")
+	s.advance(50 * time.Millisecond)
+	for range 2 {
+		s.step(Tick{})
+		require.Equal(t, EndUnansweredAttempt{Call: s.last}, must[EndUnansweredAttempt](s), "an attempt may only just have begun")
+	}
+	s.endAttempt(Interrupted)
+	require.Equal(t, Refuse{Call: s.last, Refusal: MayHaveRun, Code: "stopping"}, must[Refuse](s))
+	s.step(Tick{})
+	must[Drained](s)
+}
+
+// Guards against an engine that is held to have failed because the instance interrupts a connection to it.
+func TestUnsentRequestAtTheEndHasNotRun(t *testing.T) {
+	s := drainingSession(t, 2*time.Second)
+	s.r.table.Lookup("h", "/post/x").Timeout = time.Minute
+	s.arrive("/post/x")
+	s.advance(5500 * time.Millisecond)
+	s.step(Tick{})
+	must[RefuseUnreadCalls](s)
+	s.endAttempt(Unsent)
+	require.Equal(t, NotRun, must[Refuse](s).Refusal)
+	_, dropped := find[DropIdleConns](s)
+	require.False(t, dropped)
+}
+
+// Guards against a request that waits for a configuration when the instance ends, and gets no answer.
+func TestWaitForAConfigurationEndsWithTheInstance(t *testing.T) {
+	s := &session{t: t, r: New(Config{Instance: "i1", StoreDecoder: fakeDecoder{}})}
+	s.step(DrainRequested{})
+	s.advance(7450 * time.Millisecond)
+	s.arrive("/get/x")
+	_, refused := find[Refuse](s)
+	require.False(t, refused)
+	s.advance(50 * time.Millisecond)
+	s.step(Tick{})
+	require.Equal(t, NotRun, must[Refuse](s).Refusal)
+	must[Drained](s)
+}
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -48,6 +48,16 @@
 // EndStalledAttempt ends the running attempt of a request as Stalled, because another engine can take it.
 type EndStalledAttempt struct{ Call CallID }
 
+// EndUnansweredAttempt ends the running attempt of a request as Interrupted, unless a part of its response has reached
+// the caller.
+type EndUnansweredAttempt struct{ Call CallID }
+
+// RefuseUnreadCalls refuses, as NotRun, the requests that are not read completely, from now on.
+type RefuseUnreadCalls struct {
+	Code       string
+	RetryAfter time.Duration
+}
+
 // Refusal is the kind of a final response that the instance makes itself.
 type Refusal uint8
 
@@ -190,23 +200,25 @@
 	CacheFetch bool
 }
 
-func (CallDone) effect()          {}
-func (AttemptDone) effect()       {}
-func (Send) effect()              {}
-func (EndStalledAttempt) effect() {}
-func (Refuse) effect()            {}
-func (DeliverFailure) effect()    {}
-func (Release) effect()           {}
-func (CheckEngine) effect()       {}
-func (DropIdleConns) effect()     {}
-func (ConfigInForce) effect()     {}
-func (SetReady) effect()          {}
-func (WatchStore) effect()        {}
-func (StoreKey) effect()          {}
-func (RemoveKey) effect()         {}
-func (SendMessage) effect()       {}
-func (SendToMany) effect()        {}
-func (SetPeers) effect()          {}
-func (StopAccepting) effect()     {}
-func (Drained) effect()           {}
-func (Decision) effect()          {}
+func (CallDone) effect()             {}
+func (AttemptDone) effect()          {}
+func (Send) effect()                 {}
+func (EndStalledAttempt) effect()    {}
+func (EndUnansweredAttempt) effect() {}
+func (RefuseUnreadCalls) effect()    {}
+func (Refuse) effect()               {}
+func (DeliverFailure) effect()       {}
+func (Release) effect()              {}
+func (CheckEngine) effect()          {}
+func (DropIdleConns) effect()        {}
+func (ConfigInForce) effect()        {}
+func (SetReady) effect()             {}
+func (WatchStore) effect()           {}
+func (StoreKey) effect()             {}
+func (RemoveKey) effect()            {}
+func (SendMessage) effect()          {}
+func (SendToMany) effect()           {}
+func (SetPeers) effect()             {}
+func (StopAccepting) effect()        {}
+func (Drained) effect()              {}
+func (Decision) effect()             {}
--- a/internal/router/enginetokens.go
+++ b/internal/router/enginetokens.go
@@ -83,7 +83,7 @@
 // tickTokens places the requests again whose owner has not answered in time.
 func (r *Router) tickTokens() {
 	for id, p := range r.tokens.pending {
-		if r.now-p.askedAt >= askTimeout {
+		if r.now-p.askedAt >= askTimeout || r.drainOver() {
 			delete(r.tokens.pending, id)
 			r.tokenDecided(p, false, ownerPause)
 		}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -86,11 +86,13 @@
 	TimedOut
 	// CallerLeft: the caller closed its connection.
 	CallerLeft
+	// Interrupted: the instance is about to stop.
+	Interrupted
 )
 
 // String returns the outcome's name as used in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"none", "completed", "unsent", "rejected", "misdirected", "errored", "broken", "stalled", "timed_out", "caller_left"}[o]
+	return [...]string{"none", "completed", "unsent", "rejected", "misdirected", "errored", "broken", "stalled", "timed_out", "caller_left", "interrupted"}[o]
 }
 
 // AttemptStalled reports that the engine of an attempt has exceeded the header or gap timeout.
