internal/router: a begun stream goes on at another engine also while its instance stops

Cause: the attempt was ended as stalled, and the further one was then refused, because the stream's deadline was later than the end of the stop. For a begun stream the refusal is a cut.

TestBegunStreamGoesOnAtAnotherEngineDuringAStop failed: the attempt was ended although no other would begin.

Change: a stream that has begun goes on at another engine for as long as the instance has time. An attempt is ended as stalled only if a further one may begin; the report of the stall says whether a part was delivered.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,7 +112,7 @@
 // watch.
 func (a *attempt) watchForStalls() (stop func()) {
 	a.stallWatch = newStallWatch(a.cmd.HeaderTimeout, func() {
-		a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID})
+		a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
 	})
 	return func() { a.stallWatch.reset(0) }
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -36,7 +36,11 @@
 // engine keeps it, because it may only be slow.
 func (r *Router) attemptStalled(ev AttemptStalled) {
 	c := r.calls[ev.Call]
-	if c == nil || c.engine != ev.Engine || !r.mayRetry(c, 1) {
+	if c == nil || c.engine != ev.Engine {
+		return
+	}
+	c.partDelivered = c.partDelivered || ev.Delivered
+	if !r.mayRetry(c, 1) || !r.endsInTime(c) {
 		return
 	}
 	pool := r.pools[c.service]
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -76,7 +76,8 @@
 // endsInTime reports whether an attempt for a request may begin: while the instance stops, only if the request will
 // have its response before DrainLimit. Until DrainWait has passed, callers may have no other instance, and only a
 // request that usually takes longer than what is left is refused. After that the request must end by its own deadline
-// or, if it may be repeated, nearly always in time. A stream that has begun can only be cut.
+// or, if it may be repeated, nearly always in time. A stream that has begun goes on at another engine for as long as it
+// can, since the alternative is to cut it.
 func (r *Router) endsInTime(c *call) bool {
 	if !r.drain.active {
 		return true
@@ -87,7 +88,7 @@
 	switch {
 	case left <= 0:
 		return false
-	case c.deadline <= end:
+	case c.partDelivered || c.deadline <= end:
 		return true
 	case r.now-r.drain.requestedAt < r.cfg.DrainWait:
 		return took.usual() <= left
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -99,6 +99,8 @@
 type AttemptStalled struct {
 	Call   CallID
 	Engine fleet.EngineID
+	// Delivered reports whether a part of a response has reached the caller.
+	Delivered bool
 }
 
 // AttemptEnded reports how an attempt ended.
