gateway: a request on a connection that was accepted before the listener closed is answered

What callers saw: a request that was sent in a planned stop on a connection without an earlier request was read and its connection closed without an answer. It had not run, but the caller of a request that may not be repeated could not tell.

Cause: http.Server.Shutdown, with which the listener was closed, makes net/http drop requests whose headers it reads afterwards. It does not pass them on, so that none was lost at an engine.

TestRequestAfterTheDrainIsAnswered failed: such a request, arriving when all others had ended, got no final answer at the limit.

Change: the gateway closes the listener and the used idle connections itself, by their read deadlines, so that a request that has been read is served or refused as any other of a stopping instance. Refusals of a stopping instance say Connection: close. Shutdown follows when no request is left, and the process then waits for one that came just before, up to the grace.

--- /dev/null
+++ b/internal/gateway/callerconn.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// callerListener wraps connections so that their timeouts follow the configuration in force. The
+// timeouts of net/http are fixed when the server starts.
+type callerListener struct {
+	net.Listener
+	idleLimit, headerLimit func() time.Duration
+
+	mu      sync.Mutex
+	open    map[*callerConn]bool
+	retired bool
+}
+
+func newCallerListener(l net.Listener, idleLimit, headerLimit func() time.Duration) *callerListener {
+	return &callerListener{Listener: l, idleLimit: idleLimit, headerLimit: headerLimit, open: make(map[*callerConn]bool)}
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &callerConn{Conn: accepted, listener: l, retired: l.retired}
+	l.open[c] = true
+	return c, nil
+}
+
+// retire closes the listener and the idle connections, and those that become idle later. Connections that have not
+// carried a request yet stay open for one. In contrast to http.Server.Shutdown, requests that are read afterwards are
+// served: their callers could not tell whether they have run.
+func (l *callerListener) retire() {
+	_ = l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	for c := range l.open {
+		c.retire()
+	}
+}
+
+type callerConn struct {
+	net.Conn
+	listener *callerListener
+
+	// mu guards the state and orders changes of the read deadline.
+	mu sync.Mutex
+	// active reports whether a request's header has arrived and its response is not complete yet, and used whether
+	// the connection has carried a request. A retired connection carries no second one.
+	active, used, retired bool
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// setActive records the connection's state. When a request arrives it removes the deadline of the idle
+// connection, which would otherwise end that request.
+func (c *callerConn) setActive(active bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if active && !c.active {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	c.active = active
+	c.used = c.used || active
+}
+
+// retire ends the wait for a further request. A request that has been read is not lost, as it would be if the
+// connection were closed here.
+func (c *callerConn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
+	if c.used && !c.active {
+		_ = c.Conn.SetReadDeadline(time.Now())
+	}
+}
+
+// SetReadDeadline replaces the timeouts of net/http by the configured ones while no request is active:
+// the idle timeout if net/http sets none, and the header timeout if that is shorter.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.active {
+		t = c.idleDeadline(t)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *callerConn) idleDeadline(t time.Time) time.Time {
+	now := time.Now()
+	if c.retired && c.used {
+		return now
+	}
+	if t.IsZero() {
+		return now.Add(c.listener.idleLimit())
+	}
+	if limit := now.Add(c.listener.headerLimit()); limit.Before(t) {
+		return limit
+	}
+	return t
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -229,6 +229,9 @@
 	body.Error.Code = code
 	header := c.w.Header()
 	header.Set("Content-Type", "application/json")
+	if c.g.draining.Load() {
+		header.Set("Connection", "close")
+	}
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 
 	calls            callTable
 	callerHTTPServer *http.Server
+	callerListener   *callerListener
 	engineConns      *upstream.Pool
 	peers            *peer.Manager
 	events           chan router.Event
@@ -240,7 +241,7 @@
 	case router.DropIdleConns:
 		g.engineConns.CloseIdle(e.Addr)
 	case router.StopAccepting:
-		g.tasks.Go(g.stopAccepting)
+		g.callerListener.retire()
 	case router.Drained:
 		close(g.drained)
 	}
@@ -263,13 +264,6 @@
 	g.step(router.EngineChecked{Engine: e.Engine, Reachable: err == nil})
 }
 
-// stopAccepting closes the listener for callers and their idle connections. Requests in flight continue.
-func (g *Gateway) stopAccepting() {
-	if err := g.callerHTTPServer.Shutdown(g.ctx); err != nil && g.ctx.Err() == nil {
-		klog.ErrorS(err, "listener not closed", "listener", "callers")
-	}
-}
-
 // Run serves until ctx ends, and then until the instance has drained or its stop grace is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	servers, err := g.listen()
@@ -303,17 +297,31 @@
 		klog.InfoS("stop grace ended with requests in flight", "requests", g.calls.count())
 		return
 	}
+	if !g.awaitNoCalls(settleTime, deadline.C) {
+		return
+	}
+	// From here on net/http passes no further request on. One may have arrived just before.
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = g.callerHTTPServer.Shutdown(ended)
+	g.awaitNoCalls(0, deadline.C)
+}
+
+// awaitNoCalls waits until there has been no request for a time. It returns false if the deadline passes first.
+func (g *Gateway) awaitNoCalls(settle time.Duration, deadline <-chan time.Time) bool {
 	ticker := time.NewTicker(settleTime / 5)
 	defer ticker.Stop()
-	for settledSince := time.Now(); time.Since(settledSince) < settleTime; {
+	for settledSince := time.Now(); ; {
+		if g.calls.count() > 0 {
+			settledSince = time.Now()
+		} else if time.Since(settledSince) >= settle {
+			return true
+		}
 		select {
 		case <-ticker.C:
-		case <-deadline.C:
+		case <-deadline:
 			klog.InfoS("stop grace ended while requests were being received", "requests", g.calls.count())
-			return
-		}
-		if g.calls.count() > 0 {
-			settledSince = time.Now()
+			return false
 		}
 	}
 }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -6,7 +6,6 @@
 	"log"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -50,7 +49,8 @@
 			return nil, oops.In("gateway").With("listener", l.name).Wrapf(err, "listen on %s", l.addr)
 		}
 		if l.name == "callers" {
-			opened = &callerListener{Listener: opened, idleLimit: g.idleTimeout, headerLimit: g.headerTimeout}
+			g.callerListener = newCallerListener(opened, g.idleTimeout, g.headerTimeout)
+			opened = g.callerListener
 		}
 		l.server.ErrorLog = log.New(io.Discard, "", 0)
 		servers = append(servers, &httputil.Server{Name: l.name, Listener: opened, HTTP: l.server})
@@ -99,48 +99,3 @@
 	}
 	return headerTimeout
 }
-
-// callerListener wraps connections so that their timeouts follow the configuration in force. The
-// timeouts of net/http are fixed when the server starts.
-type callerListener struct {
-	net.Listener
-	idleLimit, headerLimit func() time.Duration
-}
-
-// Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: c, idleLimit: l.idleLimit, headerLimit: l.headerLimit}, nil
-}
-
-type callerConn struct {
-	net.Conn
-	idleLimit, headerLimit func() time.Duration
-	// active reports whether a request's header has arrived and its response is not complete yet.
-	active atomic.Bool
-}
-
-// setActive records the connection's state. When a request arrives it removes the deadline of the idle
-// connection, which would otherwise end that request.
-func (c *callerConn) setActive(active bool) {
-	if !c.active.Swap(active) && active {
-		_ = c.Conn.SetReadDeadline(time.Time{})
-	}
-}
-
-// SetReadDeadline replaces the timeouts of net/http by the configured ones while no request is active:
-// the idle timeout if net/http sets none, and the header timeout if that is shorter.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if !c.active.Load() {
-		now := time.Now()
-		if t.IsZero() {
-			t = now.Add(c.idleLimit())
-		} else if limit := now.Add(c.headerLimit()); limit.Before(t) {
-			t = limit
-		}
-	}
-	return c.Conn.SetReadDeadline(t)
-}
--- a/internal/httputil/server.go
+++ b/internal/httputil/server.go
@@ -18,10 +18,10 @@
 	HTTP     *http.Server
 }
 
-// Serve accepts connections until the server is shut down or closed. If it ends for another reason,
+// Serve accepts connections until the server is shut down or closed, or its listener is closed. If it ends for another reason,
 // the error is logged.
 func (s *Server) Serve() {
-	if err := s.HTTP.Serve(s.Listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.HTTP.Serve(s.Listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		klog.ErrorS(err, "listener failed", "listener", s.Name)
 	}
 }
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -36,7 +36,7 @@
 // is not ready, and reports the end of the drain when all accepted requests have ended. If it did not
 // stop accepting, callers with open connections would keep sending until the process is killed.
 func (r *Router) tickDrain() {
-	if !r.drain.active || r.drain.completed || r.now-r.drain.requestedAt < r.cfg.DrainWait {
+	if !r.drain.active || r.now-r.drain.requestedAt < r.cfg.DrainWait {
 		return
 	}
 	if !r.drain.stoppedAccepting {
@@ -47,7 +47,7 @@
 	if r.drainOver() {
 		r.endCalls()
 	}
-	if len(r.calls) > 0 {
+	if r.drain.completed || len(r.calls) > 0 {
 		return
 	}
 	r.drain.completed = true
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -161,3 +161,15 @@
 		require.True(t, must[Send](s).Resume)
 	}
 }
+
+// Guards against a request that arrives when all others have ended, and that gets no answer at the end.
+func TestRequestAfterTheDrainIsAnswered(t *testing.T) {
+	s := drainingSession(t, 3*time.Second)
+	s.step(Tick{})
+	must[Drained](s)
+	s.arrive("/get/x")
+	must[Send](s)
+	s.advance(4500 * time.Millisecond)
+	s.step(Tick{})
+	require.Equal(t, EndUnansweredAttempt{Call: s.last}, must[EndUnansweredAttempt](s))
+}
