core, daemon: when the drain deadline passes, open requests get an answer

What callers saw: a daemon that stopped while requests were open at its drain deadline cut them off without an answer, those that waited in a queue too.

Cause: after the deadline the daemon closed its connections, and the reducer was not told.

Evidence: TestDrainDeadlineAnswersWhatIsOpen (64 calls at an engine that does not answer, one of them not idempotent, 6 in the queue) failed: 70 connections ended without an answer. Now 64 get `unknown` and 6 `not_run`.

Change: the daemon tells the reducer of the deadline. It fails requests without an attempt as not run, has attempts interrupted of which the engine has not answered, and takes nothing new. A call that is not idempotent ends as after any lost attempt, so that its claim says unknown. The home of an engine is told that the attempt was canceled, which says nothing of the engine.

--- a/internal/core/codes.go
+++ b/internal/core/codes.go
@@ -14,6 +14,7 @@
 	CodeEngineLost        = "engine_lost"
 	CodeStreamLost        = "stream_lost"
 	CodeEngineRefused     = "engine_refused"
+	CodeStopping          = "stopping"
 )
 
 // Counter is the name of a counter of the daemon.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -188,6 +188,8 @@
 		c.configPublished(ev)
 	case DrainRequested:
 		c.drainRequested()
+	case DrainDeadlinePassed:
+		c.drainDeadlinePassed()
 	case Tick:
 		c.tick()
 	}
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -1,11 +1,19 @@
 package core
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+)
 
 // drainState is the state of a drain. A drain is never undone.
 type drainState struct {
 	active    bool
 	startedAt time.Duration
+	// ending is set once the deadline has passed: no request is taken and no attempt begins any more.
+	ending bool
 	// completed is set once Drained has been emitted.
 	completed bool
 }
@@ -43,3 +51,48 @@
 	c.emit(RecordEvent{Kind: "drained"})
 	c.emit(Drained{})
 }
+
+// drainDeadlinePassed gives the open requests a final answer. Those that are at an engine get it when their attempt has
+// been interrupted; an answer that has begun goes on until the daemon ends.
+func (c *Core) drainDeadlinePassed() {
+	if c.drain.ending {
+		return
+	}
+	c.drain.ending = true
+	c.emit(RecordEvent{Kind: "drain_deadline_passed"})
+	c.emit(InterruptAttempts{})
+	for _, id := range slices.Sorted(maps.Keys(c.entry.requests)) {
+		r := c.entry.requests[id]
+		if r.stage == stageRun {
+			continue
+		}
+		if r.stage == stageAdmit {
+			c.withdrawAttempt(r)
+		}
+		c.failStopping(r, FailureNotRun)
+	}
+}
+
+// failStopping fails a request because the instance ends.
+func (c *Core) failStopping(r *request, kind FailureKind) {
+	c.failRequest(r, kind, CodeStopping, "the instance stops", overloadRetryAfter)
+}
+
+// attemptInterrupted ends a request whose attempt ended without an answer after the drain deadline. It returns false for
+// calls that are not idempotent, which end as after any other lost attempt.
+func (c *Core) attemptInterrupted(r *request, result wire.Result) bool {
+	switch {
+	case !c.drain.ending:
+		return false
+	case result == wire.ResultNotRun:
+		c.failStopping(r, FailureNotRun)
+		return true
+	case r.call.NonIdempotent || result == wire.ResultComplete || result == wire.ResultCanceled:
+		return false
+	case r.delivered:
+		c.failLost(r)
+	default:
+		c.failStopping(r, FailureUnknown)
+	}
+	return true
+}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -160,6 +160,10 @@
 // DrainStarted reports the start of a drain, by signal, by an operator or by a planned stop.
 type DrainStarted struct{}
 
+// InterruptAttempts ends the running attempts of which the engine has not answered yet, and those that begin later, as
+// broken.
+type InterruptAttempts struct{}
+
 // Drained reports the end of a drain: no request is in flight and no end of a claim is unconfirmed.
 type Drained struct{}
 
@@ -180,24 +184,25 @@
 	Detail   string
 }
 
-func (StartAttempt) effect()    {}
-func (FailRequest) effect()     {}
-func (ReplayOutcome) effect()   {}
-func (SendMessage) effect()     {}
-func (SetPeers) effect()        {}
-func (StoreGet) effect()        {}
-func (StoreSwap) effect()       {}
-func (StoreWatch) effect()      {}
-func (LeaseAcquire) effect()    {}
-func (LeaseRelease) effect()    {}
-func (ListInstances) effect()   {}
-func (ProbeEngine) effect()     {}
-func (ReadCacheEvents) effect() {}
-func (SendOrder) effect()       {}
-func (MoveChat) effect()        {}
-func (ConfigInForce) effect()   {}
-func (SetReady) effect()        {}
-func (DrainStarted) effect()    {}
-func (Drained) effect()         {}
-func (AddToCounter) effect()    {}
-func (RecordEvent) effect()     {}
+func (StartAttempt) effect()      {}
+func (FailRequest) effect()       {}
+func (ReplayOutcome) effect()     {}
+func (SendMessage) effect()       {}
+func (SetPeers) effect()          {}
+func (StoreGet) effect()          {}
+func (StoreSwap) effect()         {}
+func (StoreWatch) effect()        {}
+func (LeaseAcquire) effect()      {}
+func (LeaseRelease) effect()      {}
+func (ListInstances) effect()     {}
+func (ProbeEngine) effect()       {}
+func (ReadCacheEvents) effect()   {}
+func (SendOrder) effect()         {}
+func (MoveChat) effect()          {}
+func (ConfigInForce) effect()     {}
+func (SetReady) effect()          {}
+func (DrainStarted) effect()      {}
+func (Drained) effect()           {}
+func (InterruptAttempts) effect() {}
+func (AddToCounter) effect()      {}
+func (RecordEvent) effect()       {}
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -115,6 +115,10 @@
 	c.count(CounterRequests, 1)
 	r := &request{id: ev.Request, call: ev.Call, arrived: c.mono()}
 	c.entry.requests[r.id] = r
+	if c.drain.ending {
+		c.failStopping(r, FailureNotRun)
+		return
+	}
 	if !c.resolveNames(r) {
 		return
 	}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -162,23 +162,27 @@
 // DrainRequested asks the instance to drain, on a signal or on an operator's request.
 type DrainRequested struct{}
 
+// DrainDeadlinePassed reports that the daemon ends soon although requests are open.
+type DrainDeadlinePassed struct{}
+
 // Tick reports that time has passed. It runs all periodic work and due timers.
 type Tick struct{}
 
-func (RequestArrived) event()     {}
-func (CallerDisconnected) event() {}
-func (FirstByte) event()          {}
-func (AttemptEnded) event()       {}
-func (PeerUp) event()             {}
-func (PeerDown) event()           {}
-func (PeerMessage) event()        {}
-func (InstanceList) event()       {}
-func (StoreReply) event()         {}
-func (LeaseReply) event()         {}
-func (EngineReport) event()       {}
-func (CacheEvents) event()        {}
-func (OrderReply) event()         {}
-func (ChatMoved) event()          {}
-func (ConfigPublished) event()    {}
-func (DrainRequested) event()     {}
-func (Tick) event()               {}
+func (RequestArrived) event()      {}
+func (CallerDisconnected) event()  {}
+func (FirstByte) event()           {}
+func (AttemptEnded) event()        {}
+func (PeerUp) event()              {}
+func (PeerDown) event()            {}
+func (PeerMessage) event()         {}
+func (InstanceList) event()        {}
+func (StoreReply) event()          {}
+func (LeaseReply) event()          {}
+func (EngineReport) event()        {}
+func (CacheEvents) event()         {}
+func (OrderReply) event()          {}
+func (ChatMoved) event()           {}
+func (ConfigPublished) event()     {}
+func (DrainRequested) event()      {}
+func (DrainDeadlinePassed) event() {}
+func (Tick) event()                {}
--- a/internal/core/outcomes.go
+++ b/internal/core/outcomes.go
@@ -14,7 +14,10 @@
 		return
 	}
 	r.delivered = r.delivered || ev.Delivered
-	c.releaseAttempt(r, ev.Result, ev.CacheHit)
+	c.releaseAttempt(r, c.releaseResult(ev.Result), ev.CacheHit)
+	if c.attemptInterrupted(r, ev.Result) {
+		return
+	}
 	switch ev.Result {
 	case wire.ResultComplete:
 		c.attemptComplete(r, ev)
@@ -29,6 +32,15 @@
 	}
 }
 
+// releaseResult returns the result that the home of an engine is told. After the drain deadline a broken attempt says
+// nothing of its engine.
+func (c *Core) releaseResult(result wire.Result) wire.Result {
+	if c.drain.ending && result == wire.ResultBroken {
+		return wire.ResultCanceled
+	}
+	return result
+}
+
 func (c *Core) attemptComplete(r *request, ev AttemptEnded) {
 	c.count(CounterComplete, 1)
 	if ev.CacheHit {
--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -83,7 +83,7 @@
 	// The chunks of another engine have a different id, so the template of the previous attempt
 	// doesn't match them.
 	c.template = chunkTemplate{}
-	result := runExchange(ctx, stallTimeout, cmd, c.send, func(res *http.Response, x *exchange) wire.Result {
+	result := runExchange(ctx, c.daemon.interruptCtx, stallTimeout, cmd, c.send, func(res *http.Response, x *exchange) wire.Result {
 		firstByte()
 		return c.receive(ctx, res, cmd, x)
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,9 @@
 	drainStarted chan struct{}
 	drainOnce    sync.Once
 	drainDone    chan struct{}
+	// interruptCtx ends when attempts must end that have no answer yet. interrupt ends it.
+	interruptCtx context.Context
+	interrupt    context.CancelFunc
 	// aborted is closed by Abort.
 	aborted chan struct{}
 }
@@ -96,6 +99,7 @@
 		aborted:      make(chan struct{}),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.interruptCtx, d.interrupt = context.WithCancel(context.Background())
 	d.metrics.registerAll()
 	d.events = newEventLog(s.Instance, d.incarnation, s.TimelineCapacity)
 	d.controlRate = newByteRate(d.metrics.set)
@@ -241,6 +245,7 @@
 		klog.InfoS("drained", "instance", d.settings.Instance)
 	case <-deadline.C:
 		klog.InfoS("drain deadline passed with requests in flight", "instance", d.settings.Instance)
+		d.loop.post(core.DrainDeadlinePassed{})
 	}
 }
 
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -44,6 +44,8 @@
 	case core.DrainStarted:
 		d.drainOnce.Do(func() { close(d.drainStarted) })
 		d.presence.markLeaving()
+	case core.InterruptAttempts:
+		d.interrupt()
 	case core.Drained:
 		close(d.drainDone)
 	default:
--- a/internal/daemon/plain.go
+++ b/internal/daemon/plain.go
@@ -50,7 +50,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	var outcome *wire.Outcome
-	result := runExchange(ctx, p.serviceTimeout, cmd, p.send, func(res *http.Response, x *exchange) wire.Result {
+	result := runExchange(ctx, p.daemon.interruptCtx, p.serviceTimeout, cmd, p.send, func(res *http.Response, x *exchange) wire.Result {
 		firstByte()
 		result := p.receive(ctx, res, cmd, x)
 		outcome = p.recordedOutcome(res, result)
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -135,9 +135,10 @@
 }
 
 // runExchange sends one request to an engine and passes the response to receive. It cancels the
-// request when it stalls, and returns how the attempt ended.
+// request when it stalls, or when interrupt ends before the engine has answered, and returns how the attempt ended.
 func runExchange(
 	ctx context.Context,
+	interrupt context.Context,
 	stallTimeout time.Duration,
 	cmd core.StartAttempt,
 	send func(context.Context, core.StartAttempt) (*http.Response, error),
@@ -145,11 +146,14 @@
 ) wire.Result {
 	exchangeCtx, x := newExchange(ctx, stallTimeout)
 	defer x.close()
+	stop := context.AfterFunc(interrupt, x.cancel)
+	defer stop()
 	res, err := send(exchangeCtx, cmd)
 	if err != nil {
 		return resultOf(ctx, x, err)
 	}
 	defer res.Body.Close()
+	stop()
 	x.progress()
 	return receive(res, x)
 }
