--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,8 +36,10 @@
 	tickInterval = 50 * time.Millisecond
 	// maintenanceInterval is the time between checks for expired idle connections and changed settings.
 	maintenanceInterval = time.Second
-	// exitMargin is the part of the stop grace that is reserved for closing connections.
-	exitMargin = 300 * time.Millisecond
+	// exitMargin is the part of the stop grace that is reserved for closing connections, and answerMargin the part
+	// before it for final responses to the requests that are still open.
+	exitMargin   = 300 * time.Millisecond
+	answerMargin = 200 * time.Millisecond
 	// settleTime is how long a stopping instance without requests waits for one on a connection that was just
 	// accepted, whose header is still on its way.
 	settleTime = 100 * time.Millisecond
@@ -80,6 +82,7 @@
 
 	calls            callTable
 	callerHTTPServer *http.Server
+	callerListener   *callerListener
 	engineConns      *upstream.Pool
 	peers            *peer.Manager
 	events           chan router.Event
@@ -139,6 +142,7 @@
 		RetryReserve: s.RetryReserve,
 		RetryWindow:  s.RetryWindow,
 		DrainWait:    s.DrainWait,
+		DrainLimit:   max(s.StopGrace-exitMargin-answerMargin, time.Millisecond),
 		LoadFactor:   loadMargin * s.LoadLimit,
 	}
 }
@@ -206,7 +210,11 @@
 	case router.Command:
 		g.calls.dispatch(e)
 	case router.EndStalledAttempt:
-		g.calls.endStalled(e.Call)
+		g.calls.endAttempt(e.Call, router.Stalled)
+	case router.EndUnansweredAttempt:
+		g.calls.endAttempt(e.Call, router.Interrupted)
+	case router.RefuseUnreadCalls:
+		g.calls.refuseUnread(e)
 	case router.Decision:
 		g.recordDecision(e)
 	case router.CallDone:
@@ -239,7 +247,7 @@
 	case router.DropIdleConns:
 		g.engineConns.CloseIdle(e.Addr)
 	case router.StopAccepting:
-		g.tasks.Go(g.stopAccepting)
+		g.callerListener.retire()
 	case router.Drained:
 		close(g.drained)
 	}
@@ -262,13 +270,6 @@
 	g.step(router.EngineChecked{Engine: e.Engine, Reachable: err == nil})
 }
 
-// stopAccepting closes the listener for callers and their idle connections. Requests in flight continue.
-func (g *Gateway) stopAccepting() {
-	if err := g.callerHTTPServer.Shutdown(g.ctx); err != nil && g.ctx.Err() == nil {
-		klog.ErrorS(err, "listener not closed", "listener", "callers")
-	}
-}
-
 // Run serves until ctx ends, and then until the instance has drained or its stop grace is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	servers, err := g.listen()
@@ -302,17 +303,31 @@
 		klog.InfoS("stop grace ended with requests in flight", "requests", g.calls.count())
 		return
 	}
+	if !g.awaitNoCalls(settleTime, deadline.C) {
+		return
+	}
+	// From here on net/http passes no further request on. One may have arrived just before.
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = g.callerHTTPServer.Shutdown(ended)
+	g.awaitNoCalls(0, deadline.C)
+}
+
+// awaitNoCalls waits until there has been no request for a time. It returns false if the deadline passes first.
+func (g *Gateway) awaitNoCalls(settle time.Duration, deadline <-chan time.Time) bool {
 	ticker := time.NewTicker(settleTime / 5)
 	defer ticker.Stop()
-	for settledSince := time.Now(); time.Since(settledSince) < settleTime; {
+	for settledSince := time.Now(); ; {
+		if g.calls.count() > 0 {
+			settledSince = time.Now()
+		} else if time.Since(settledSince) >= settle {
+			return true
+		}
 		select {
 		case <-ticker.C:
-		case <-deadline.C:
+		case <-deadline:
 			klog.InfoS("stop grace ended while requests were being received", "requests", g.calls.count())
-			return
-		}
-		if g.calls.count() > 0 {
-			settledSince = time.Now()
+			return false
 		}
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,7 +39,7 @@
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
-		if err != nil && len(pending) > 0 && a.headerWritten {
+		if err != nil && len(pending) > 0 && a.headerWritten.Load() {
 			a.eventDue = true
 		}
 		switch {
@@ -89,7 +89,7 @@
 
 // finishStream ends a stream that the engine has ended completely.
 func (a *attempt) finishStream() {
-	if !a.headerWritten {
+	if !a.headerWritten.Load() {
 		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
 	}
 	// net/http writes the end of the response, possibly long after the last event.
@@ -106,7 +106,7 @@
 	if len(events) == 0 {
 		return true
 	}
-	if !a.headerWritten {
+	if !a.headerWritten.Load() {
 		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
 	}
 	if !a.forwardPart(events) {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -72,6 +72,8 @@
 			return
 		}
 		r.retryOr(c, func() { r.refuse(c, MayHaveRun, "engine_lost", 0) })
+	case Interrupted:
+		r.refuse(c, MayHaveRun, "stopping", 0)
 	}
 }
 
@@ -154,9 +156,12 @@
 		}
 		r.markAnswered(c)
 		stats.succeeded(r.now, ev.FirstByte)
+		stats.took.add(r.now - c.Arrived)
 		pool.engines.Succeeded(r.now, c.engine, ev.FirstByte, stats.meanLatency)
 	case Unsent:
-		r.engineUnreachable(c.engine)
+		if !r.drainOver() {
+			r.engineUnreachable(c.engine)
+		}
 	case Rejected:
 		pool.engines.Failed(r.now, c.engine, placement.Rejected, 0)
 	case Misdirected:
@@ -192,6 +197,8 @@
 	decayedAt           time.Duration
 	// meanLatency is the mean time to the first byte.
 	meanLatency time.Duration
+	// took describes the time from arrival to the end of the response.
+	took spread
 }
 
 const (
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -120,6 +120,9 @@
 
 // configWait returns how long a request waits for the first configuration.
 func (r *Router) configWait(c *call) time.Duration {
+	if r.drainOver() {
+		return 0
+	}
 	wait := firstConfigTimeout
 	if r.store.lost {
 		wait = lostConfigTimeout
@@ -192,6 +195,10 @@
 
 // place chooses an engine for a request and sends it there.
 func (r *Router) place(c *call) {
+	if !r.endsInTime(c) {
+		r.giveUpFor(c, "stopping", stoppingRetryAfter)
+		return
+	}
 	pool := r.pools[c.service]
 	if pool == nil || len(c.triedEngines) >= maxTries {
 		r.giveUp(c, "no_engine")
--- a/internal/router/enginetokens.go
+++ b/internal/router/enginetokens.go
@@ -77,7 +77,7 @@
 		// The caller has left.
 	case p.stalledAt != "":
 		r.stalledTokenDecided(p, pool, admitted)
-	case admitted && pool != nil && pool.engines.Accepts(r.now, p.choice.Engine.ID):
+	case admitted && pool != nil && pool.engines.Accepts(r.now, p.choice.Engine.ID) && r.endsInTime(p.call):
 		r.send(p.call, pool, p.choice)
 	default:
 		p.call.deniedEngines = append(p.call.deniedEngines, p.choice.Engine.ID)
@@ -88,7 +88,7 @@
 // tickTokens places the requests again whose owner has not answered in time.
 func (r *Router) tickTokens() {
 	for id, p := range r.tokens.pending {
-		if r.now-p.askedAt >= askTimeout {
+		if r.now-p.askedAt >= askTimeout || r.drainOver() {
 			delete(r.tokens.pending, id)
 			r.tokenDecided(p, false, ownerPause)
 		}
--- a/internal/router/stalls.go
+++ b/internal/router/stalls.go
@@ -10,7 +10,11 @@
 // one, because the engine may only be slow; the report is repeated while it stays silent.
 func (r *Router) attemptStalled(ev AttemptStalled) {
 	c := r.calls[ev.Call]
-	if c == nil || c.engine != ev.Engine || !r.mayReplace(c) {
+	if c == nil || c.engine != ev.Engine {
+		return
+	}
+	c.partDelivered = c.partDelivered || ev.Delivered
+	if !r.mayReplace(c) {
 		return
 	}
 	pool := r.pools[c.service]
@@ -34,7 +38,7 @@
 
 // mayReplace reports whether the running attempt of a request may be replaced by another one.
 func (r *Router) mayReplace(c *call) bool {
-	if c.replacement != nil || r.tokens.awaits(c) || !r.mayRetry(c, 1) {
+	if c.replacement != nil || r.tokens.awaits(c) || !r.mayRetry(c, 1) || !r.endsInTime(c) {
 		return false
 	}
 	_, refused := r.poison.detector.Check(r.now, c.traits())
