internal/router: a stalled stream is ended only for an engine with a free slot

What callers would see: a stream cut within the answer although its engine was sound.

Cause: a stalled attempt was ended for an engine whose slots were taken. That engine queues the request, or rejects it, and if the retry budget has no further attempt by then, nothing is left but to cut the stream.

Change: the attempt goes on while all engines that could take the request are full.

Result: TestStalledStreamIsNotCut (no free slot) failed and passes.

--- a/internal/router/stalls.go
+++ b/internal/router/stalls.go
@@ -7,7 +7,8 @@
 )
 
 // attemptStalled looks for another engine for a request whose engine is silent. The attempt goes on until there is
-// one, because the engine may only be slow; the report is repeated while it stays silent.
+// one with a free slot, because the engine may only be slow and a full one may reject the request; the report is
+// repeated while the engine stays silent.
 func (r *Router) attemptStalled(ev AttemptStalled) {
 	c := r.calls[ev.Call]
 	if c == nil || c.engine != ev.Engine || !r.mayReplace(c) {
@@ -24,7 +25,7 @@
 	}
 	choice, ok := pool.engines.Choose(r.now, request)
 	switch {
-	case !ok:
+	case !ok, !choice.HasFreeSlot():
 	case choice.Owner != "":
 		r.askToken(c, choice, c.engine)
 	default:
--- a/internal/router/stalls_test.go
+++ b/internal/router/stalls_test.go
@@ -85,6 +85,9 @@
 			pool.engines.SetAnnouncedCounts(map[fleet.EngineTag]int{fleet.TagOf(other): 100})
 			pool.engines.SetRate(s.now, map[fleet.EngineID]fleet.EngineID{"e0": "e1", "e1": "e0"}[other], placement.RateBound{Rate: 1, Burst: 1})
 		},
+		"the other engine has no free slot and may reject": func(_ *session, pool *servicePool, other fleet.EngineID) {
+			pool.engines.SetAnnouncedCounts(map[fleet.EngineTag]int{fleet.TagOf(other): 8})
+		},
 		"an owner admits requests to the other engine": func(s *session, pool *servicePool, other fleet.EngineID) {
 			pool.engines.SetRate(s.now, other, placement.RateBound{Rate: 1, Burst: 1, Owner: "i2"})
 		},
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -126,6 +126,9 @@
 	Mean float64
 }
 
+// HasFreeSlot reports whether the engine can begin a request at once. Otherwise it queues the request, or rejects it.
+func (c Choice) HasFreeSlot() bool { return c.Engine.admitsLoad(c.Load, 1) }
+
 // Pool holds the engines of one service. It is not safe for concurrent use.
 type Pool struct {
 	config        Config
