internal/gateway, internal/router: an attempt is not ended for another engine once its response can't be replaced

What callers would see: a 200 with the part of one engine's large response and the whole of another's behind it, framed as complete, or a stream without ids twice (MIXED, ORDER).

Cause: the router ends a silent attempt when it has chosen another engine. A response that began between the report and the end was passed on in part, and the request was sent to the chosen engine all the same: that way did not ask whether another attempt is allowed. The end of a planned stop had the same gap between looking at the header and ending the attempt.

Change: the goroutine of the attempt and the one that ends it decide on one value which came first. A request is sent to the chosen engine only if a further attempt is allowed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"mime"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
@@ -63,8 +62,7 @@
 	eventForwarded bool
 	// stallWatch is nil if the attempt has no header timeout.
 	stallWatch *stallWatch
-	// endedAs is the outcome with which the router ended the attempt, or 0.
-	endedAs atomic.Uint32
+	state      attemptState
 }
 
 // attempt sends the request to an engine and forwards the response.
@@ -72,6 +70,9 @@
 	ctx, cancel := c.callContext(cmd.Deadline)
 	defer cancel()
 	a := &attempt{callerRequest: c, cmd: cmd, ctx: ctx, sentAt: c.g.now(), result: router.AttemptEnded{Call: c.id}}
+	if c.headerWritten.Load() {
+		a.state.begin(responseBegun)
+	}
 	c.g.calls.setAttempt(c.id, func(as router.Outcome) { a.end(as, cancel) })
 	defer c.g.calls.setAttempt(c.id, nil)
 	if cmd.HeaderTimeout > 0 {
@@ -104,13 +105,11 @@
 	a.forwardResponse()
 }
 
-// end ends the attempt with an outcome, on another goroutine. A response that has begun is not interrupted.
+// end ends the attempt with an outcome, on another goroutine, unless it must go on.
 func (a *attempt) end(as router.Outcome, cancel context.CancelFunc) {
-	if as == router.Interrupted && a.headerWritten.Load() {
-		return
+	if a.state.end(as) {
+		cancel()
 	}
-	a.endedAs.CompareAndSwap(0, uint32(as))
-	cancel()
 }
 
 // watchForStalls reports when the engine exceeds the header or gap timeout. The returned function ends the
@@ -175,11 +174,12 @@
 	if a.exchange != nil {
 		a.exchange.Abort()
 	}
+	endedAs, ended := a.state.endedAs()
 	switch {
 	case a.callerDisconnected():
 		outcome = router.CallerLeft
-	case a.endedAs.Load() != 0 && outcome != router.Unsent:
-		outcome = router.Outcome(a.endedAs.Load())
+	case ended && outcome != router.Unsent:
+		outcome = endedAs
 	case outcome != router.Unsent && (a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)):
 		outcome = router.TimedOut
 	}
@@ -271,8 +271,7 @@
 func (a *attempt) forwardLarge(held *heldResponse) {
 	// No other engine can replace the response from here on.
 	a.stallWatch.reset(0)
-	a.writeHead(held.status, held.header, a.exchange.Response.ContentLength)
-	if !a.forwardPart(held.body) {
+	if !a.beginResponse(responseFixed, a.exchange.Response.ContentLength) || !a.forwardPart(held.body) {
 		return
 	}
 	buffer := make([]byte, copyBufferBytes)
@@ -298,6 +297,19 @@
 	}
 }
 
+// errEnded reports an attempt that was ended before its response began.
+var errEnded = errors.New("the attempt was ended")
+
+// beginResponse writes the header of the response to the caller. It returns false if the attempt was ended.
+func (a *attempt) beginResponse(state uint32, length int64) bool {
+	if !a.state.begin(state) {
+		a.fail(router.Broken, errEnded)
+		return false
+	}
+	a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, length)
+	return true
+}
+
 // forwardPart writes a part of a response to the caller. It returns false if the write fails, which
 // means that the caller has disconnected.
 func (a *attempt) forwardPart(data []byte) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -89,8 +89,8 @@
 
 // finishStream ends a stream that the engine has ended completely.
 func (a *attempt) finishStream() {
-	if !a.headerWritten.Load() {
-		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
+	if !a.headerWritten.Load() && !a.beginResponse(responseFixed, -1) {
+		return
 	}
 	// net/http writes the end of the response, possibly long after the last event.
 	a.boundWrites()
@@ -100,23 +100,29 @@
 
 // forwardEvents forwards complete events. It returns false if the attempt has ended.
 func (a *attempt) forwardEvents(events []byte) bool {
+	lastEvent, endsWithoutID := a.lastEvent, a.endsWithoutID
 	if a.cmd.Route.Resumable {
 		events = a.skipDelivered(events)
 	}
 	if len(events) == 0 {
 		return true
 	}
-	if !a.headerWritten.Load() {
-		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
+	state := responseBegun
+	if a.endsWithoutID {
+		// No other engine can go on with the stream, so that the engine may take its time.
+		state = responseFixed
+		a.stallWatch.reset(0)
+	}
+	if a.headerWritten.Load() {
+		a.state.begin(state)
+	} else if !a.beginResponse(state, -1) {
+		a.lastEvent, a.endsWithoutID = lastEvent, endsWithoutID
+		return false
 	}
 	if !a.forwardPart(events) {
 		return false
 	}
 	a.eventForwarded, a.eventDue = true, false
-	if a.endsWithoutID {
-		// No other engine can go on with the stream, so that the engine may take its time.
-		a.stallWatch.reset(0)
-	}
 	if err := a.responseController.Flush(); err != nil {
 		a.fail(router.CallerLeft, err)
 		return false
--- a/internal/router/stalls.go
+++ b/internal/router/stalls.go
@@ -83,10 +83,10 @@
 }
 
 // sendReplacement sends a request to the engine for which its last attempt was ended. It returns false if that engine
-// has left meanwhile.
+// has left meanwhile, or if the caller got a part of the response that the engine can't go on with.
 func (r *Router) sendReplacement(c *call, choice placement.Choice) bool {
 	pool := r.pools[c.service]
-	if pool == nil || !pool.engines.Accepts(r.now, choice.Engine.ID) {
+	if pool == nil || !pool.engines.Accepts(r.now, choice.Engine.ID) || !r.mayRetry(c, 0) {
 		return false
 	}
 	r.send(c, pool, choice)
--- a/internal/router/stalls_test.go
+++ b/internal/router/stalls_test.go
@@ -173,3 +173,39 @@
 		must[Send](s)
 	}
 }
+
+// Guards against a second engine's response behind a part that was delivered after the silence was reported and
+// before the attempt was ended for it.
+func TestPartDeliveredBeforeAStalledAttemptEnds(t *testing.T) {
+	for path, ended := range map[string]AttemptEnded{
+		"/get/x":  {Outcome: Stalled, Delivered: true},
+		"/chat/x": {Outcome: Stalled, Delivered: true, EndsWithoutID: true},
+	} {
+		t.Run(path, func(t *testing.T) {
+			s := newSession(t, 3)
+			first := s.call(path)
+			s.step(AttemptStalled{Call: s.last, Engine: first.Engine.ID})
+			must[EndStalledAttempt](s)
+			ended.Call = s.last
+			s.step(ended)
+			_, sent := find[Send](s)
+			require.False(t, sent)
+			must[Refuse](s)
+		})
+	}
+}
+
+// Guards against the same while the owner of a rate limit is asked, which takes far longer.
+func TestPartDeliveredBeforeTheOwnerAdmits(t *testing.T) {
+	s := newSession(t, 2)
+	s.link(1)
+	first := s.call("/get/x")
+	other := map[fleet.EngineID]fleet.EngineID{"e0": "e1", "e1": "e0"}[first.Engine.ID]
+	s.r.pools["s"].engines.SetRate(s.now, other, placement.RateBound{Rate: 1, Burst: 1, Owner: "i2"})
+	s.step(AttemptStalled{Call: s.last, Engine: first.Engine.ID})
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.EngineTokenReply{ID: s.r.tokens.lastID, Admitted: true}})
+	must[EndStalledAttempt](s)
+	s.step(AttemptEnded{Call: s.last, Outcome: Stalled, Delivered: true})
+	_, sent := find[Send](s)
+	require.False(t, sent)
+}
