replica: the newest revision counts also where a higher version outlives it

Seen in a test: holders of the newest configuration refused the older one of a restored store and seemed to know less than an instance that took it, which never asked them.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -85,7 +85,7 @@
 	return &Replica{facts: make(map[string]heldFact), valueHash: valueHash, listedAt: make(map[string]uint64)}
 }
 
-// NewestRevision returns the highest revision of any merged fact.
+// NewestRevision returns the highest revision of any merged fact, also of one that an older one with a higher version has outlived.
 func (r *Replica) NewestRevision() uint64 { return r.newestRevision }
 
 // Digest returns a hash of all present keys with their value hashes. Replicas with equal digests hold
@@ -162,8 +162,7 @@
 	return changed
 }
 
-// deletedBefore reports whether a fact about an unknown key is older than a list that lacked the key. A
-// numbered value is not deleted by a list.
+// deletedBefore reports whether a fact about an unknown key is older than a list that lacked the key.
 func (r *Replica) deletedBefore(f Fact) bool {
 	for prefix, revision := range r.listedAt {
 		if f.Revision <= revision && strings.HasPrefix(f.Key, prefix) {
@@ -189,9 +188,14 @@
 // disappeared or got another value hash.
 func (r *Replica) put(f Fact) bool {
 	old, known := r.facts[f.Key]
+	if known {
+		// Also a fact that is not newer shows how far the store has come.
+		r.newestRevision = max(r.newestRevision, f.Revision)
+	}
 	if known && !f.NewerThan(old.Fact) {
 		return false
 	}
+	// A list of a restored store may lack a numbered value that others hold.
 	if !known && f.Version == 0 && r.deletedBefore(f) {
 		return false
 	}
