--- a/internal/router/eras.go
+++ b/internal/router/eras.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/replica"
 )
 
@@ -54,7 +55,8 @@
 	_, registrations := r.cfg.StoreDecoder.Prefixes()
 	changed := false
 	for _, f := range r.replica.All() {
-		if strings.HasPrefix(f.Key, registrations) {
+		id, isRegistration := strings.CutPrefix(f.Key, registrations)
+		if _, expelled := r.expelled[fleet.EngineID(id)]; isRegistration && !expelled {
 			changed = r.applyRegistration(f) || changed
 		}
 	}
@@ -70,6 +72,10 @@
 		if f.Key != key || f.Deleted || f.Version != 0 {
 			continue
 		}
+		if held, ok := r.replica.Get(key); ok && held.Revision == f.Revision {
+			facts[i].Version = held.Version
+			continue
+		}
 		if config, err := r.cfg.StoreDecoder.Configuration(f.Value); err == nil {
 			facts[i].Version = config.Version
 		}
