registry: an engine that was gone is not ready again in a restored store

The entry of before would have brought back an engine that left without a word. TestGoneEngineIsNotReadyAgainInARestoredStore failed and passes.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -51,17 +51,18 @@
 	graceEnds time.Duration
 	// restored is set during the grace period after the store was restored.
 	restored bool
-	// drained holds the processes of engines that were last registered as draining, also after they are gone.
+	// drained holds the processes of engines that were last registered as draining, or whose registration was
+	// removed.
 	drained map[fleet.EngineID]drainedProcess
 }
 
-// drainedProcess is a process of an engine that was registered as draining at a time.
+// drainedProcess is a process of an engine that drained, or was gone, at a time.
 type drainedProcess struct {
 	startedAtMillis int64
 	at              time.Duration
 }
 
-// drainMemory is how long a process is known to drain. Engines end within minutes.
+// drainMemory is how long such a process is remembered. Engines end within minutes.
 const drainMemory = 10 * time.Minute
 
 // New returns an empty registry.
@@ -73,8 +74,8 @@
 }
 
 // Put sets an engine's registration. It reports whether the registration changed or was suspended. During the
-// grace period of a restored store an engine that drains stays draining: the entry may be one of before. What is
-// registered then has to be put again afterwards.
+// grace period of a restored store an engine that drains stays draining, and one that was gone drains: the entry may
+// be one of before. What is registered then has to be put again afterwards.
 func (r *Registry) Put(now time.Duration, e Engine) bool {
 	if last, known := r.drained[e.ID]; known && r.restored && last.startedAtMillis == e.StartedAtMillis {
 		e.Draining = true
@@ -103,10 +104,16 @@
 		r.suspended[id] = true
 		return false
 	}
+	r.remember(now, id)
 	r.drop(id)
 	return true
 }
 
+// remember records that an engine's process is gone.
+func (r *Registry) remember(now time.Duration, id fleet.EngineID) {
+	r.drained[id] = drainedProcess{startedAtMillis: r.engines[id].StartedAtMillis, at: now}
+}
+
 // RemoveNow removes an engine that is known to be gone, even if it is still registered. It reports
 // whether the engine was known.
 func (r *Registry) RemoveNow(id fleet.EngineID) bool {
@@ -148,6 +155,7 @@
 	}
 	slices.Sort(gone)
 	for _, id := range gone {
+		r.remember(now, id)
 		r.drop(id)
 	}
 	return gone
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -106,6 +106,22 @@
 	require.False(t, drains(r, 5*time.Second, ready), "what is registered after the grace period holds")
 }
 
+// Guards against new requests to an engine that left without a word, whose registration of before is in a restored
+// store.
+func TestGoneEngineIsNotReadyAgainInARestoredStore(t *testing.T) {
+	r := newFilled()
+	e1, _ := r.Get("e1")
+	require.True(t, r.Remove(time.Second, "e1"))
+	r.StoreRestored(2 * time.Second)
+	r.Put(2*time.Second, e1)
+	held, _ := r.Get("e1")
+	require.True(t, held.Draining)
+	r.Tick(2*time.Second + grace)
+	r.Put(2*time.Second+grace, e1)
+	held, _ = r.Get("e1")
+	require.False(t, held.Draining, "its registration is written again, so that it has come back")
+}
+
 // Guards against engines that are removed at once because a restored store lacks their registrations.
 func TestRestoredStoreStartsTheGracePeriod(t *testing.T) {
 	r := registry.New(registry.Config{ReregistrationGrace: grace})
