--- a/internal/router/quarantines.go
+++ b/internal/router/quarantines.go
@@ -42,6 +42,17 @@
 // storeRestored makes all quarantines be written again, since the store may have lost them.
 func (s *quarantineStoring) storeRestored() { s.init() }
 
+// listed records which quarantines a list of the store holds.
+func (s *quarantineStoring) listed(facts []replica.Fact) {
+	for _, f := range facts {
+		if hash, ok := strings.CutPrefix(f.Key, QuarantinePrefix); ok {
+			if trait, err := strconv.ParseUint(hash, 16, 64); err == nil {
+				s.stored[fleet.Fingerprint(trait)] = true
+			}
+		}
+	}
+}
+
 // forgetOthers drops what concerns quarantines that have ended: if one is renewed, its key is new.
 func (s *quarantineStoring) forgetOthers(current []crashcause.Quarantine) {
 	active := func(trait fleet.Fingerprint) bool {
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -38,6 +38,7 @@
 	r.storeReachable()
 	r.numberConfigurations(ev.Facts)
 	restored := r.enterEra(ev.AtRevision)
+	r.poison.storing.listed(ev.Facts)
 	changed := r.mergeList(ev)
 	r.applyFacts(changed)
 	// The first list after a start is new only to this instance, so it is not relayed.
