--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -106,6 +106,8 @@
 	rng := rand.New(rand.NewPCG(g.incarnation, 1))
 	var revision uint64
 	listed := false
+	// relists counts the lists since changes could last be read.
+	relists := 0
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
@@ -116,7 +118,9 @@
 				sleepContext(ctx, startPause)
 			}
 		} else {
-			revision, err = g.awaitChanges(ctx, revision)
+			if revision, err = g.awaitChanges(ctx, revision); err == nil {
+				relists = 0
+			}
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -127,6 +131,9 @@
 		case errors.Is(err, platform.ErrCompacted):
 			klog.InfoS("changes are not available, listing again", "after", revision, "error", err.Error())
 			listed = false
+			if relists++; relists > 1 {
+				sleepContext(ctx, storeBackoffMax)
+			}
 			continue
 		}
 		g.step(router.StoreLost{Err: err})
