internal/router, internal/wire: the era 0 is told from an unknown one

Cause: messages named the era 0 and none alike, and facts without one count as of the latest era. After the first restore of a store that begins with era 0, facts that a peer held from before it replaced newer ones.

Change: messages name the era plus one.

--- a/internal/router/eras_test.go
+++ b/internal/router/eras_test.go
@@ -91,7 +91,7 @@
 	require.Len(t, report, 1, "peers are told at once")
 	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: report[0].Message})
 	must[RenewPresence](s)
-	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "engines/e1", Revision: 21, Era: 2, Deleted: true}}}})
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "engines/e1", Revision: 21, Era: 3, Deleted: true}}}})
 	require.Equal(t, 2, s.r.registry.Len(), "the engine may register again")
 	s.advance(s.r.cfg.ReregistrationGrace)
 	s.step(Tick{})
@@ -180,3 +180,98 @@
 	f.run(3 * time.Second)
 	require.Len(t, f.stored, 1)
 }
+
+// Guards against facts of the era 0 that a peer of this release holds and that count as of the latest era.
+func TestPeerWithFactsOfTheEraZero(t *testing.T) {
+	session0 := func(id fleet.InstanceID, facts ...replica.Fact) *session {
+		s := &session{t: t, r: New(Config{Instance: id, DataCentre: "dc", StoreDecoder: fakeDecoder{}, RetryReserve: 100})}
+		s.step(Tick{})
+		s.step(KeysListed{Facts: facts, AtRevision: 100})
+		s.link(1)
+		return s
+	}
+	era1 := func(n uint64) uint64 { return replica.RevisionOf(1, n) }
+	// The peer has seen e0 at the revision 60 and does not read the store itself.
+	peer := session0("i2", fact(1, "config", "1"), fact(60, "engines/e0", "ready@7"), fact(61, "engines/gone", "ready@7"))
+	s := session0("i1", fact(1, "config", "1"), fact(60, "engines/e0", "ready@7"))
+	s.step(KeysListed{Facts: []replica.Fact{fact(era1(1), "config", "1"), fact(era1(5), "engines/e0", "ready@7")}, AtRevision: era1(20)})
+	s.advance(3 * time.Second)
+	s.step(Tick{})
+
+	peer.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.FactsRequest{Buckets: s.r.replica.BucketDigests()}})
+	var sent []wire.StoreFact
+	for _, m := range peer.sent(wire.KindStoreFacts) {
+		sent = append(sent, m.Message.(*wire.StoreFacts).Facts...)
+	}
+	require.NotEmpty(t, sent)
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: sent}})
+	newest := s.r.replica.NewestRevision()
+	s.step(KeysChanged{Facts: []replica.Fact{fact(era1(22), "engines/e0", "draining@7")}, AtRevision: era1(22)})
+	e, _ := s.r.registry.Get("e0")
+	require.True(t, e.Draining, "the engine has reported that it leaves")
+	require.Equal(t, era1(5), newest, "facts of before the restore are older")
+}
+
+// Guards against an engine whose address belongs to another one and that gets requests again once the store has settled.
+func TestExpelledEngineOfARestoredStore(t *testing.T) {
+	engines := func(era uint64) []replica.Fact {
+		return []replica.Fact{fact(replica.RevisionOf(era, 1), "config", "1"), fact(replica.RevisionOf(era, 5), "engines/e0", "ready"), fact(replica.RevisionOf(era, 6), "engines/e1", "ready")}
+	}
+	s := newSessionInEra(t, "i1", fact(1, "config", "1"), fact(5, "engines/e0", "ready"), fact(6, "engines/e1", "ready"))
+	s.step(KeysListed{Facts: engines(2), AtRevision: at(20)})
+	s.advance(s.r.cfg.ReregistrationGrace - time.Second)
+	s.step(Tick{})
+	expelled := s.call("/get/x").Engine.ID
+	s.endAttempt(Misdirected)
+	s.endAttempt(Completed)
+	_, known := s.r.registry.Get(expelled)
+	require.False(t, known)
+	s.advance(1100 * time.Millisecond)
+	s.step(Tick{})
+	_, known = s.r.registry.Get(expelled)
+	require.False(t, known, "the expulsion lasts 4 s")
+}
+
+// Guards against an older configuration that stays at an instance that started from a restored store, because the
+// copy's newest revision is that of its configuration: peers, which ignore it, seem to know less.
+func TestOlderConfigurationWithTheNewestRevision(t *testing.T) {
+	restored := []replica.Fact{fact(at(40), "config", "8"), fact(at(5), "engines/e0", "ready")}
+	s := newSessionInEra(t, "i1", fact(90, "config", "11"), fact(5, "engines/e0", "ready"))
+	s.step(KeysListed{Facts: append([]replica.Fact{}, restored...), AtRevision: at(60)})
+	fresh := &session{t: t, r: New(Config{Instance: "i2", StoreDecoder: fakeDecoder{}})}
+	fresh.step(KeysListed{Facts: append([]replica.Fact{}, restored...), AtRevision: at(60)})
+	s.link(1)
+	fresh.link(1)
+	asked := false
+	for range 20 {
+		s.advance(time.Second)
+		fresh.advance(time.Second)
+		s.step(Tick{})
+		for _, m := range s.sent(wire.KindStatusReport) {
+			fresh.step(PeerMessage{From: "i2", Incarnation: 1, Message: m.Message})
+			asked = asked || len(fresh.sent(wire.KindFactsRequest)) > 0
+		}
+	}
+	require.True(t, asked, "the peer holds a newer configuration")
+}
+
+// Guards against a quarantine that is in the copy and that the watchers try to write again and again.
+func TestQuarantineInTheCopyIsNotWrittenAgain(t *testing.T) {
+	f := newMessageFleet(t, 6, 64)
+	f.members["i000"].answer(classPart)
+	for _, id := range []fleet.InstanceID{"i001", "i002", "i003"} {
+		require.True(t, f.crashWith(id, classPart, badPart))
+		f.run(time.Second)
+	}
+	f.run(3 * time.Second)
+	require.Len(t, f.stored, 1)
+	for key, value := range f.stored {
+		for _, id := range f.ids {
+			f.step(id, KeysChanged{Facts: []replica.Fact{{Key: key, Revision: 200, Value: value}}, AtRevision: 200})
+			f.step(id, KeysListed{Facts: []replica.Fact{fact(replica.RevisionOf(1, 20), "config", "1"), {Key: key, Revision: replica.RevisionOf(1, 21), Value: value}}, AtRevision: replica.RevisionOf(1, 21)})
+		}
+	}
+	clear(f.stored)
+	f.run(3 * time.Second)
+	require.Empty(t, f.stored, "the key is in the store")
+}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -293,7 +293,7 @@
 	m := &wire.StatusReport{
 		Sequence:       r.members.sequence,
 		NewestRevision: replica.Number(r.replica.NewestRevision()),
-		Era:            replica.Era(r.replica.NewestRevision()),
+		Era:            wireEra(r.replica.NewestRevision()),
 		FactsDigest:    r.replica.Digest(),
 		StoreLost:      r.store.lost,
 		Draining:       r.drain.active,
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -159,7 +159,7 @@
 
 func wireFact(f replica.Fact) wire.StoreFact {
 	return wire.StoreFact{
-		Key: f.Key, Revision: replica.Number(f.Revision), Era: replica.Era(f.Revision), Version: f.Version, Deleted: f.Deleted, Value: f.Value,
+		Key: f.Key, Revision: replica.Number(f.Revision), Era: wireEra(f.Revision), Version: f.Version, Deleted: f.Deleted, Value: f.Value,
 	}
 }
 
@@ -170,13 +170,17 @@
 
 // revisionOf returns the revision that a peer sent. A peer of an earlier release names no era; it is taken to
 // have read the store in the latest one.
-func (r *Router) revisionOf(era, number uint64) uint64 {
-	if era == 0 {
-		era = r.store.era
+func (r *Router) revisionOf(sentEra, number uint64) uint64 {
+	era := r.store.era
+	if sentEra > 0 {
+		era = sentEra - 1
 	}
 	return replica.RevisionOf(min(era, replica.MaxEra), min(number, replica.MaxNumber))
 }
 
+// wireEra returns the era of a revision as messages name it.
+func wireEra(revision uint64) uint64 { return replica.Era(revision) + 1 }
+
 // announcementOf returns a fact without its value.
 func announcementOf(f replica.Fact) wire.StoreFact {
 	w := wireFact(f)
--- a/internal/wire/gatewaymessages.go
+++ b/internal/wire/gatewaymessages.go
@@ -8,8 +8,8 @@
 // copy of the store holds.
 type StatusReport struct {
 	Sequence uint64 `cbor:"1,keyasint"`
-	// NewestRevision is the highest store revision in the sender's copy of the store, in the era Era, and
-	// FactsDigest the hash of the copy's keys and values.
+	// NewestRevision is the highest store revision in the sender's copy of the store, and FactsDigest the hash
+	// of the copy's keys and values.
 	NewestRevision uint64 `cbor:"2,keyasint,omitempty"`
 	FactsDigest    uint64 `cbor:"3,keyasint,omitempty"`
 	// StoreLost is set while the sender can't read the store.
@@ -31,7 +31,7 @@
 	Leaving []LeavingEngine `cbor:"11,keyasint,omitempty"`
 	// Paces lists what the sender has measured since its last StatusReport, unless LoadsInGrid is set.
 	Paces []EnginePace `cbor:"12,keyasint,omitempty"`
-	// Era is the store's era of NewestRevision. Senders of earlier releases know none and send 0.
+	// Era is the store's era of NewestRevision, plus one. Senders of earlier releases know none and send 0.
 	Era uint64 `cbor:"13,keyasint,omitempty"`
 }
 
@@ -143,7 +143,7 @@
 	// receivers get it from another sender.
 	ValueOmitted bool `cbor:"5,keyasint,omitempty"`
 	// Version is the version that the writer gave the value, 0 without one. Era is the store's era of
-	// Revision. Senders of earlier releases know neither and send 0.
+	// Revision, plus one. Senders of earlier releases know neither and send 0.
 	Version uint64 `cbor:"7,keyasint,omitempty"`
 	Era     uint64 `cbor:"8,keyasint,omitempty"`
 }
