--- a/internal/router/eras_test.go
+++ b/internal/router/eras_test.go
@@ -155,8 +155,8 @@
 	require.Equal(t, 2, s.r.registry.Len())
 }
 
-// Guards against a quarantine that is missing in a restored store, so that it is lost when all instances restart.
-func TestQuarantineIsStoredAgainInARestoredStore(t *testing.T) {
+// newFleetWithQuarantine returns a fleet that has written one quarantine to the store.
+func newFleetWithQuarantine(t *testing.T) *messageFleet {
 	f := newMessageFleet(t, 6, 64)
 	f.members["i000"].answer(classPart)
 	for _, id := range []fleet.InstanceID{"i001", "i002", "i003"} {
@@ -165,6 +165,12 @@
 	}
 	f.run(3 * time.Second)
 	require.Len(t, f.stored, 1)
+	return f
+}
+
+// Guards against a quarantine that is missing in a restored store, so that it is lost when all instances restart.
+func TestQuarantineIsStoredAgainInARestoredStore(t *testing.T) {
+	f := newFleetWithQuarantine(t)
 	for key, value := range f.stored {
 		for _, id := range f.ids {
 			f.step(id, KeysChanged{Facts: []replica.Fact{{Key: key, Revision: 200, Value: value}}, AtRevision: 200})
@@ -257,14 +263,7 @@
 
 // Guards against a quarantine that is in the copy and that the watchers try to write again and again.
 func TestQuarantineInTheCopyIsNotWrittenAgain(t *testing.T) {
-	f := newMessageFleet(t, 6, 64)
-	f.members["i000"].answer(classPart)
-	for _, id := range []fleet.InstanceID{"i001", "i002", "i003"} {
-		require.True(t, f.crashWith(id, classPart, badPart))
-		f.run(time.Second)
-	}
-	f.run(3 * time.Second)
-	require.Len(t, f.stored, 1)
+	f := newFleetWithQuarantine(t)
 	for key, value := range f.stored {
 		for _, id := range f.ids {
 			f.step(id, KeysChanged{Facts: []replica.Fact{{Key: key, Revision: 200, Value: value}}, AtRevision: 200})
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -51,25 +51,25 @@
 	graceEnds time.Duration
 	// restored is set during the grace period after the store was restored.
 	restored bool
-	// drained holds the processes of engines that were last registered as draining, or whose registration was
+	// departed holds the processes of engines that were last registered as draining, or whose registration was
 	// removed.
-	drained map[fleet.EngineID]drainedProcess
+	departed map[fleet.EngineID]departedProcess
 }
 
-// drainedProcess is a process of an engine that drained, or was gone, at a time.
-type drainedProcess struct {
+// departedProcess is a process of an engine that drained, or was gone, at a time.
+type departedProcess struct {
 	startedAtMillis int64
 	at              time.Duration
 }
 
-// drainMemory is how long such a process is remembered. Engines end within minutes.
-const drainMemory = 10 * time.Minute
+// departureMemory is how long such a process is remembered. Engines end within minutes.
+const departureMemory = 10 * time.Minute
 
 // New returns an empty registry.
 func New(config Config) *Registry {
 	return &Registry{
 		config: config, engines: make(map[fleet.EngineID]Engine), suspended: make(map[fleet.EngineID]bool),
-		drained: make(map[fleet.EngineID]drainedProcess),
+		departed: make(map[fleet.EngineID]departedProcess),
 	}
 }
 
@@ -77,13 +77,13 @@
 // grace period of a restored store an engine that drains stays draining, and one that was gone drains: the entry may
 // be one of before. What is registered then has to be put again afterwards.
 func (r *Registry) Put(now time.Duration, e Engine) bool {
-	if last, known := r.drained[e.ID]; known && r.restored && last.startedAtMillis == e.StartedAtMillis {
+	if last, known := r.departed[e.ID]; known && r.restored && last.startedAtMillis == e.StartedAtMillis {
 		e.Draining = true
 	}
 	if e.Draining {
-		r.drained[e.ID] = drainedProcess{startedAtMillis: e.StartedAtMillis, at: now}
+		r.departed[e.ID] = departedProcess{startedAtMillis: e.StartedAtMillis, at: now}
 	} else {
-		delete(r.drained, e.ID)
+		delete(r.departed, e.ID)
 	}
 	current, known := r.engines[e.ID]
 	if known && current == e && !r.suspended[e.ID] {
@@ -111,7 +111,7 @@
 
 // remember records that an engine's process is gone.
 func (r *Registry) remember(now time.Duration, id fleet.EngineID) {
-	r.drained[id] = drainedProcess{startedAtMillis: r.engines[id].StartedAtMillis, at: now}
+	r.departed[id] = departedProcess{startedAtMillis: r.engines[id].StartedAtMillis, at: now}
 }
 
 // RemoveNow removes an engine that is known to be gone, even if it is still registered. It reports
@@ -145,7 +145,7 @@
 	if now >= r.graceEnds {
 		r.restored = false
 	}
-	maps.DeleteFunc(r.drained, func(_ fleet.EngineID, p drainedProcess) bool { return now-p.at >= drainMemory })
+	maps.DeleteFunc(r.departed, func(_ fleet.EngineID, p departedProcess) bool { return now-p.at >= departureMemory })
 	if r.storeLost || now < r.graceEnds || len(r.suspended) == 0 {
 		return nil
 	}
