--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -31,13 +32,12 @@
 
 // Bounds of the deployment kkl-restock that the scripts use.
 const (
-	StopGrace         = 8 * time.Second
-	ConfigApply       = 2 * time.Second
-	DrainBound        = 2 * time.Second
-	LossSlack         = 200 * time.Millisecond
-	StableWindow      = 3 * time.Second
-	heartbeatInterval = 1200 * time.Millisecond
-	startTimeout      = 15 * time.Second
+	StopGrace    = 8 * time.Second
+	ConfigApply  = 2 * time.Second
+	DrainBound   = 2 * time.Second
+	LossSlack    = 200 * time.Millisecond
+	StableWindow = 3 * time.Second
+	startTimeout = 15 * time.Second
 )
 
 // Zones lists the zones of the gateways of a small deployment, one entry for each machine.
@@ -72,7 +72,18 @@
 		return nil, err
 	}
 	store.SetRates(standin.Rates{Writes: 400, Reads: 2000})
-	return &Bed{Store: store, dir: dir, start: time.Now(), record: record, stop: make(chan struct{})}, nil
+	b := &Bed{Store: store, dir: dir, start: time.Now(), record: record, stop: make(chan struct{})}
+	go b.closeOnSignal()
+	return b, nil
+}
+
+// closeOnSignal ends all processes if the script is stopped.
+func (b *Bed) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	b.Close()
+	os.Exit(NotRun)
 }
 
 // Logf writes a line to the record, with the time since the start of the run.
@@ -99,7 +110,7 @@
 	_ = os.RemoveAll(b.dir)
 }
 
-// Engine is an engine that renews its entry in the store.
+// Engine is an engine with an entry in the store. The entry changes only when more than its sequence does.
 type Engine struct {
 	*standin.Engine
 	zone  string
@@ -111,30 +122,19 @@
 	sequence int
 }
 
-// AddEngine starts an engine and registers it.
+// AddEngine starts an engine and registers it. The heartbeats that follow would change nothing but the sequence, for which
+// the entry does not change.
 func (b *Bed) AddEngine(e *standin.Engine, zone string, slots int) (*Engine, error) {
 	if err := e.Start("127.0.0.1:0"); err != nil {
 		return nil, err
 	}
 	engine := &Engine{Engine: e, zone: zone, slots: slots, born: time.Now().UnixMilli(), state: "ready"}
 	b.Engines = append(b.Engines, engine)
-	b.heartbeat(engine)
-	go func() {
-		ticker := time.NewTicker(heartbeatInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-b.stop:
-				return
-			case <-ticker.C:
-				b.heartbeat(engine)
-			}
-		}
-	}()
+	b.register(engine)
 	return engine, nil
 }
 
-func (b *Bed) heartbeat(e *Engine) {
+func (b *Bed) register(e *Engine) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
@@ -150,7 +150,7 @@
 	e.mu.Lock()
 	e.state = "draining"
 	e.mu.Unlock()
-	b.heartbeat(e)
+	b.register(e)
 	return time.Now()
 }
 
