--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -120,6 +120,8 @@
 	mu       sync.Mutex
 	state    string
 	sequence int
+	// down is set while the engine has no process.
+	down bool
 }
 
 // AddEngine starts an engine and registers it. The heartbeats that follow would change nothing but the sequence, for which
@@ -345,3 +347,37 @@
 		<-exited
 	}
 }
+
+// Crash ends an engine, as a failure of its machine does, and removes its entry after three heartbeats of silence.
+func (b *Bed) Crash(e *Engine) {
+	e.Stop()
+	time.AfterFunc(3*heartbeatInterval, func() {
+		select {
+		case <-b.stop:
+		default:
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.down {
+				b.Store.Delete("servers/" + e.ID)
+			}
+		}
+	})
+	e.mu.Lock()
+	e.down = true
+	e.mu.Unlock()
+}
+
+// Restart starts an engine that has ended again at its address, as a new process with the same id.
+func (b *Bed) Restart(e *Engine) error {
+	if err := e.Start(e.Addr()); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.down, e.born = false, time.Now().UnixMilli()
+	e.mu.Unlock()
+	b.register(e)
+	return nil
+}
+
+// heartbeatInterval is the time between two heartbeats of an engine.
+const heartbeatInterval = 1200 * time.Millisecond
