--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command review-1 takes the power from three of seven machines at once, those that read the store for the fleet, and
+// Command review-4 takes the power from three of seven machines at once, those that read the store for the fleet, and
 // then takes an API key away. It reports requests with that key that the other machines still let an engine run later
 // than config_apply_ms after the store has accepted the change.
 package main
