internal/router: an equal digest counts only as of when the peer was current

Cause: compareFacts counted a lasting difference anew at each report with an equal digest, so two instances that had missed the same change kept each other from asking the others. Besides, an instance ended its own reading of the store when three peers read it, although it had read nothing since its return.

Change: status reports say as of when the sender's copy was known to be current. A difference ends only with an equal digest of a peer that is at least as current as those that differed, and a peer that is about as current as the instance itself counts whatever its newest revision. An instance stops reading the store only when its copy has been current since it began to read.

TestInstancesThatMissedTheSameChangeCatchUp and TestReadsTheStoreUntilItsCopyIsCurrent failed before the change ("expected 0x9b, actual 0x1").

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -53,8 +53,6 @@
 	earliestStatusReport time.Duration
 	// sentHash is the statusReportHash of the last status report sent.
 	sentHash uint64
-	// inSyncAt is when a peer that reads the store last had the same facts as this instance.
-	inSyncAt time.Duration
 	// movedPrompts lists, for the next status report, the prompts that were processed by another engine
 	// than the one that affinity selects.
 	movedPrompts []wire.PromptLocation
@@ -161,7 +159,7 @@
 	}
 	newest := r.revisionOf(m.Era, m.NewestRevision)
 	r.enterEra(newest)
-	r.compareFacts(from, m, newest)
+	r.compareFacts(from, m.FactsDigest, r.peerCurrentAt(m), newest)
 }
 
 // promptsReceived records which engines have processed the prompts of peers' requests, so that the cache
@@ -199,12 +197,15 @@
 		watch = slices.Contains(order[:watcherCount], 0)
 	}
 	r.store.rank = min(slices.Index(order, 0), watcherCount)
+	// Peers that read the store don't show that this instance has what it missed before their links opened.
+	watch = watch || r.store.watching && r.store.currentAt < r.store.watchingSince
 	changed := watch != r.store.watching
 	if changed || watch && minWatchInterval(oldRank) != minWatchInterval(r.store.rank) {
 		r.emit(WatchStore{On: watch, MinInterval: minWatchInterval(r.store.rank)})
 	}
 	if changed {
 		r.store.watching = watch
+		r.store.watchingSince = r.now
 		// An instance that no longer reads the store can't know whether it is still unreachable.
 		r.store.lost = r.store.lost && watch
 		r.emit(Decision{Kind: "watching_store", Fields: []any{"on", watch, "candidates", len(candidates)}})
@@ -300,6 +301,7 @@
 		LoadsInGrid:    r.inGrid(),
 		IntervalMs:     uint32(r.maxStatusReportInterval().Milliseconds()),
 		Demand:         r.reportedDemand(),
+		CurrentAgeMs:   r.currentAgeMs(),
 	}
 	if !m.LoadsInGrid {
 		m.Running = r.runningCounts()
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -35,12 +35,6 @@
 	// tree before it requests it from the announcing instance. It is longer than the tree of the last
 	// watcher takes.
 	announcementTimeout = 700 * time.Millisecond
-	// repairDelay is how long a difference from a peer's facts must last before it is repaired, by
-	// requesting the differing facts from the peer. Facts arrive within milliseconds, and status reports
-	// may overtake them.
-	repairDelay = 500 * time.Millisecond
-	// repairInterval is the shortest time between two requests for differing facts.
-	repairInterval = 500 * time.Millisecond
 )
 
 // relayState is the state of the distribution of facts among instances.
@@ -56,8 +50,10 @@
 	batchAt time.Duration
 	// packed holds the last compressed value of each key.
 	packed map[string]wire.StoreFact
-	// laggingSince is when a difference from a peer's facts was first seen, or 0 without one.
+	// laggingSince is when a difference from a peer's facts was first seen, or 0 without one. differedAt is
+	// the latest time as of which a peer with other facts was current.
 	laggingSince time.Duration
+	differedAt   time.Duration
 	nextRepair   time.Duration
 }
 
@@ -78,6 +74,7 @@
 	s.packed = make(map[string]wire.StoreFact)
 	s.plannedTrees = make(map[string]plannedTree)
 	s.treeStartedAt = make(map[string]time.Duration)
+	s.differedAt = never
 }
 
 // relay sends peers the facts that this instance read from the store. Large values are distributed
@@ -303,30 +300,3 @@
 		r.emit(SendMessage{To: a.from, Message: &wire.FactsRequest{Keys: []string{key}}})
 	}
 }
-
-// compareFacts requests a repair when this instance's facts have differed for repairDelay from those of
-// a peer whose newest revision is at least as high: the peer has facts that this instance missed.
-func (r *Router) compareFacts(from fleet.InstanceID, m *wire.StatusReport, newest uint64) {
-	if m.FactsDigest == r.replica.Digest() {
-		if !m.StoreLost {
-			r.members.inSyncAt = r.now
-		}
-		if newest >= r.replica.NewestRevision() {
-			r.relays.laggingSince = 0
-		}
-		return
-	}
-	if newest < r.replica.NewestRevision() {
-		return
-	}
-	if r.relays.laggingSince == 0 {
-		r.relays.laggingSince = r.now
-	}
-	if r.replica.NewestRevision() > 0 && r.now-r.relays.laggingSince < repairDelay || r.now < r.relays.nextRepair {
-		return
-	}
-	r.relays.nextRepair = r.now + repairInterval
-	r.emit(Decision{Kind: "repair_asked", Fields: []any{"peer", from, "newest", replica.FormatRevision(newest),
-		"own", replica.FormatRevision(r.replica.NewestRevision())}})
-	r.emit(SendMessage{To: from, Message: &wire.FactsRequest{Buckets: r.replica.BucketDigests()}})
-}
--- a/internal/router/stats.go
+++ b/internal/router/stats.go
@@ -18,7 +18,7 @@
 	PeerAge time.Duration
 	// Watching reports whether this instance reads changes from the store. StoreAge is the time since its
 	// last successful read. FactsAge is the time since its facts were last known to be current, by its
-	// own read or by comparison with a peer that reads the store. Both are negative before the first time.
+	// own read or by comparison with a peer whose facts are current. Both are negative before the first time.
 	Watching bool
 	StoreAge time.Duration
 	FactsAge time.Duration
@@ -43,9 +43,9 @@
 		StoreAge:  age(now, r.store.readAt),
 		Suspended: r.registry.Suspended(),
 	}
-	s.FactsAge = s.StoreAge
-	if inSyncAge := age(now, r.members.inSyncAt); inSyncAge >= 0 && (s.FactsAge < 0 || inSyncAge < s.FactsAge) {
-		s.FactsAge = inSyncAge
+	s.FactsAge = -1
+	if r.store.currentAt != never {
+		s.FactsAge = now - r.store.currentAt
 	}
 	for _, p := range r.members.linked {
 		s.PeerAge = max(s.PeerAge, now-p.lastReportAt)
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -16,6 +16,8 @@
 type storeState struct {
 	// watching reports whether this instance reads changes from the store itself.
 	watching bool
+	// watchingSince is when this instance last began or ceased to read changes.
+	watchingSince time.Duration
 	// rank is the instance's position in the order of watchers, 0 for the first and watcherCount for
 	// instances that don't watch.
 	rank   int
@@ -23,8 +25,10 @@
 	lostAt time.Duration
 	// listed reports whether this instance has listed the keys at least once.
 	listed bool
-	// readAt is when this instance last read the store.
-	readAt time.Duration
+	// readAt is when this instance last read the store, currentAt the latest time as of which its copy is known
+	// to be current, or never.
+	readAt    time.Duration
+	currentAt time.Duration
 	// era is the store's era as of the newest facts.
 	era uint64
 	// settling is set from the restore of the store until settledAt, when what it holds counts again. relist is
@@ -66,7 +70,7 @@
 		r.emit(Decision{Kind: "store_regained", Fields: []any{"after_ms", (r.now - r.store.lostAt).Milliseconds()}})
 	}
 	r.store.lost = false
-	r.store.readAt = r.now
+	r.store.readAt, r.store.currentAt = r.now, r.now
 	r.registry.StoreRegained(r.now)
 }
 
--- a/internal/wire/gatewaymessages.go
+++ b/internal/wire/gatewaymessages.go
@@ -33,6 +33,9 @@
 	Paces []EnginePace `cbor:"12,keyasint,omitempty"`
 	// Era is the store's era of NewestRevision, plus one. Senders of earlier releases know none and send 0.
 	Era uint64 `cbor:"13,keyasint,omitempty"`
+	// CurrentAgeMs is the time since the sender's copy of the store was last known to be current, plus one. It
+	// is 0 if it never was, and in messages of earlier releases.
+	CurrentAgeMs uint32 `cbor:"14,keyasint,omitempty"`
 }
 
 // EnginePace is the mean time between the events of some streams of an engine.
