internal/router: the loss of the instances that read the store is noticed by their reads

Cause: an instance counted as a reader of the store while its last status report counted, for three intervals: 3 s, and 6 s with 82 instances. That an instance is alive was taken for a sign that it reads the store, and its silence was noticed later than the bound of what it reads.

Change: readers announce their reads. Who hears of none for 1.4 s (1.5 s with 82 instances, 2.8 s with 490) reads the store itself, in steps, until three that precede it in the order are heard to read. Removals that peers relay count while reads are heard of, not while a peer does not complain. Calls for changes wait 0.7 s in place of 1 s. The order of the readers is computed without sorting all instances 20 times a second.

TestChangesArriveInTimeWhenAllReadersAreLost failed before the change ("2.24s" is not less than "2s", "3.27s" is not less than "3s"). TestFewInstancesWatchTheStore and TestRemovalsCountAgainWhenPeersReadTheStore now let the peers say that they read the store, which a status report did before; what they check is the same.

--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// watchWait is how long a call for changes waits. The store may lose a waiting call without closing
-	// its connection, which is only noticed when the wait ends, and a configuration must be in force
-	// two seconds after the store accepted it.
-	watchWait = time.Second
 	// storeBackoffBase and storeBackoffMax bound the pauses between calls to a store that fails. The
 	// required bounds for drains and configurations leave about two seconds.
 	storeBackoffBase = 50 * time.Millisecond
@@ -154,7 +150,7 @@
 // together, because every call is charged.
 func (g *Gateway) awaitChanges(ctx context.Context, after uint64) (uint64, error) {
 	began := g.now()
-	facts, revision, err := g.store.Changes(ctx, "", after, watchWait)
+	facts, revision, err := g.store.Changes(ctx, "", after, router.WatchWait)
 	if err != nil {
 		return after, err
 	}
--- a/internal/peer/class.go
+++ b/internal/peer/class.go
@@ -30,7 +30,7 @@
 	case wire.KindConfigRequest, wire.KindConfigManifest, wire.KindBlobRequest, wire.KindBlob,
 		wire.KindEngineState, wire.KindStoreFacts, wire.KindFactsRequest:
 		return classConfiguration
-	case wire.KindHeartbeat, wire.KindHello, wire.KindStatusReport, wire.KindLoads:
+	case wire.KindHeartbeat, wire.KindHello, wire.KindStatusReport, wire.KindLoads, wire.KindStoreRead:
 		return classHeartbeat
 	}
 	return classTimeline
--- a/internal/router/currency.go
+++ b/internal/router/currency.go
@@ -23,9 +23,6 @@
 	repairDelay = 500 * time.Millisecond
 	// repairInterval is the shortest time between two requests for differing facts.
 	repairInterval = 500 * time.Millisecond
-	// readSkew is the time by which two instances that are both up to date may differ in when they last
-	// learned that. It covers the pause between two reads and the interval of status reports.
-	readSkew = laterWatchInterval + statusReportInterval
 )
 
 // currentAgeMs returns how long ago this instance's copy was last known to be current, as status reports
@@ -46,7 +43,7 @@
 }
 
 // compareFacts compares this instance's copy with that of a peer, which was current as of peerCurrentAt and
-// whose newest revision is newest. A difference that lasts for repairDelay is repaired. It ends with an equal
+// whose newest revision is newest, or 0 if it did not say. A difference that lasts for repairDelay is repaired. It ends with an equal
 // digest of a peer that is at least as current as those that differed.
 func (r *Router) compareFacts(from fleet.InstanceID, digest uint64, peerCurrentAt time.Duration, newest uint64) {
 	if digest == r.replica.Digest() {
@@ -56,7 +53,7 @@
 		}
 		return
 	}
-	if newest < r.replica.NewestRevision() && peerCurrentAt < r.store.currentAt-readSkew {
+	if newest < r.replica.NewestRevision() && r.store.currentAt-peerCurrentAt > r.readSilenceLimit() {
 		return
 	}
 	r.relays.differedAt = max(r.relays.differedAt, peerCurrentAt)
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/bilberrywell/bilberrywell/affinity"
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/wire"
 	"github.com/bilberrywell/bilberrywell/replica"
@@ -17,12 +16,6 @@
 const InstancePrefix = "bilberrywell/instances/"
 
 const (
-	// watcherCount is the number of instances that read changes from the store for the whole fleet. With
-	// three, changes arrive without delay even if one has failed and another has lost the store.
-	watcherCount = 3
-	// firstWatchInterval and laterWatchInterval are explained at minWatchInterval.
-	firstWatchInterval = 300 * time.Millisecond
-	laterWatchInterval = 450 * time.Millisecond
 	// statusReportInterval is the time between unchanged status reports, minStatusReportInterval the
 	// shortest one between any two.
 	statusReportInterval    = time.Second
@@ -63,6 +56,10 @@
 	lastStatusReport *wire.StatusReport
 	// lastReportAt is when lastStatusReport arrived, or when the link opened if none has arrived.
 	lastReportAt time.Duration
+	// readStoreAt is when the peer last read changes from the store, as far as it has said, or never.
+	readStoreAt time.Duration
+	// watcherScore is the peer's score in the order of watchers.
+	watcherScore float64
 	// ownLoad is the load that the peer runs, rowLoad the one that its row of the grid runs.
 	ownLoad, rowLoad reportedLoad
 }
@@ -93,10 +90,11 @@
 }
 
 func (r *Router) peerUp(ev PeerUp) {
-	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, lastReportAt: r.now}
+	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, lastReportAt: r.now, readStoreAt: never, watcherScore: watcherScore(ev.Instance)}
 	r.emit(Decision{Kind: "peer_up", Fields: []any{"peer", ev.Instance}})
 	r.rebuildGrid()
 	r.sendStatusReport(ev.Instance)
+	r.sendStoreRead(ev.Instance)
 	r.sendCrashEvidence(ev.Instance)
 	r.sendRateLimits(ev.Instance)
 	r.divideBudgets()
@@ -121,6 +119,8 @@
 	switch m := ev.Message.(type) {
 	case *wire.StatusReport:
 		r.statusReportReceived(ev.From, p, m)
+	case *wire.StoreRead:
+		r.storeReadReceived(ev.From, p, m)
 	case *wire.Loads:
 		r.loadsReceived(p, m)
 	case *wire.StoreFacts:
@@ -153,10 +153,6 @@
 	}
 	r.promptsReceived(m.Prompts)
 	r.departuresReceived(from, m.Leaving)
-	if !m.StoreLost {
-		// Removals that peers relay are valid while one of them reads the store.
-		r.registry.StoreRegained(r.now)
-	}
 	newest := r.revisionOf(m.Era, m.NewestRevision)
 	r.enterEra(newest)
 	r.compareFacts(from, m.FactsDigest, r.peerCurrentAt(m), newest)
@@ -173,55 +169,6 @@
 	}
 }
 
-func (r *Router) anyPeerReadsStore() bool {
-	for _, p := range r.members.linked {
-		if p.lastStatusReport != nil && p.live(r.now) && !p.lastStatusReport.StoreLost {
-			return true
-		}
-	}
-	return false
-}
-
-// electWatchers decides whether this instance reads changes from the store. The watchers are the first
-// live instances in a rendezvous-hash order that is the same at every instance.
-func (r *Router) electWatchers() {
-	candidates := []affinity.Candidate{{ID: string(r.cfg.Instance), Weight: 1}}
-	for id, p := range r.members.linked {
-		if p.lastStatusReport != nil && p.live(r.now) && !p.lastStatusReport.StoreLost && !p.lastStatusReport.Draining {
-			candidates = append(candidates, affinity.Candidate{ID: string(id), Weight: 1})
-		}
-	}
-	watch, oldRank := true, r.store.rank
-	order := affinity.Rank(fleet.Hash("watchers"), candidates)
-	if r.canRoute() && len(candidates) > watcherCount {
-		watch = slices.Contains(order[:watcherCount], 0)
-	}
-	r.store.rank = min(slices.Index(order, 0), watcherCount)
-	// Peers that read the store don't show that this instance has what it missed before their links opened.
-	watch = watch || r.store.watching && r.store.currentAt < r.store.watchingSince
-	changed := watch != r.store.watching
-	if changed || watch && minWatchInterval(oldRank) != minWatchInterval(r.store.rank) {
-		r.emit(WatchStore{On: watch, MinInterval: minWatchInterval(r.store.rank)})
-	}
-	if changed {
-		r.store.watching = watch
-		r.store.watchingSince = r.now
-		// An instance that no longer reads the store can't know whether it is still unreachable.
-		r.store.lost = r.store.lost && watch
-		r.emit(Decision{Kind: "watching_store", Fields: []any{"on", watch, "candidates", len(candidates)}})
-	}
-}
-
-// minWatchInterval returns the least time between the starts of two store calls for changes by the
-// watcher of a rank. Every call is charged, and registrations change continually. The first watcher
-// reads changes early enough for the required bound of 2 s on configurations; the others are backups.
-func minWatchInterval(rank int) time.Duration {
-	if rank == 0 {
-		return firstWatchInterval
-	}
-	return laterWatchInterval
-}
-
 // planPeers sets the instances to hold links with: those registered in the store, or the seeds if none
 // is registered.
 func (r *Router) planPeers() {
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -49,6 +49,7 @@
 			id := fleet.InstanceID(fmt.Sprintf("i%d", j+1))
 			s.step(PeerUp{Instance: id, Incarnation: 1})
 			s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.StatusReport{Sequence: 1}})
+			s.step(PeerMessage{From: id, Incarnation: 1, Message: &wire.StoreRead{FactsDigest: s.r.replica.Digest()}})
 		}
 		s.step(Tick{})
 		if s.r.store.watching {
@@ -401,6 +402,7 @@
 	s := newSession(t, 2)
 	s.step(StoreLost{Err: errors.New("reset")})
 	s.link(10)
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreRead{FactsDigest: s.r.replica.Digest()}})
 	s.advance(3 * time.Second)
 	s.step(Tick{})
 	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "engines/e0", Revision: 200, Deleted: true}}}})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -127,7 +127,7 @@
 		notices:  notice.NewTracker(),
 	}
 	r.replica = replica.New(r.contentHash)
-	r.store.currentAt = never
+	r.store.currentAt, r.store.readBefore = never, never
 	r.poison.init(fleet.Hash("instance", string(cfg.Instance)))
 	r.members.init()
 	r.loads.init()
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -29,6 +29,9 @@
 	// to be current, or never.
 	readAt    time.Duration
 	currentAt time.Duration
+	// nextReadNotice is when peers are told next that this instance reads the store. readBefore is when an instance
+	// that precedes this one in the order of watchers last read it, or never.
+	nextReadNotice, readBefore time.Duration
 	// era is the store's era as of the newest facts.
 	era uint64
 	// settling is set from the restore of the store until settledAt, when what it holds counts again. relist is
@@ -50,6 +53,7 @@
 		r.relay(changed)
 	}
 	r.store.listed = true
+	r.announceRead()
 	if restored {
 		// Peers learn the new era from the revision in the report.
 		r.sendStatusReport("")
@@ -63,6 +67,7 @@
 	changed := r.replica.Merge(ev.Facts)
 	r.applyFacts(changed)
 	r.relay(changed)
+	r.announceRead()
 }
 
 func (r *Router) storeReachable() {
--- a/internal/wire/gatewaymessages.go
+++ b/internal/wire/gatewaymessages.go
@@ -38,6 +38,13 @@
 	CurrentAgeMs uint32 `cbor:"14,keyasint,omitempty"`
 }
 
+// StoreRead reports that the sender reads changes from the store for others, and when it last did.
+type StoreRead struct {
+	// AgeMs is the time since the last read, and FactsDigest the hash of the sender's copy of the store since then.
+	AgeMs       uint32 `cbor:"1,keyasint,omitempty"`
+	FactsDigest uint64 `cbor:"2,keyasint"`
+}
+
 // EnginePace is the mean time between the events of some streams of an engine.
 type EnginePace struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -87,6 +87,9 @@
 // Kind implements Message.
 func (*EngineTokenRequest) Kind() Kind { return KindEngineTokenRequest }
 
+// Kind implements Message.
+func (*StoreRead) Kind() Kind { return KindStoreRead }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -148,6 +151,8 @@
 		return &EngineTokenReply{}
 	case KindEngineTokenRequest:
 		return &EngineTokenRequest{}
+	case KindStoreRead:
+		return &StoreRead{}
 	}
 	return nil
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -41,6 +41,7 @@
 	KindEngineLimits       Kind = 29
 	KindEngineTokenRequest Kind = 30
 	KindEngineTokenReply   Kind = 31
+	KindStoreRead          Kind = 32
 )
 
 // Hello is the first message on a link, in both directions.
