internal/daemon: bound what a faulty engine can make a daemon keep

Another operator reported a machine that ran out of memory because a faulty engine sent bytes without end, and the requests of its other clients ended with it.

Cause: net/http accepts heads of 10 MiB, the text of a stream was kept whole for a continuation at another engine, and an unstreamed response up to 16 MiB. The gateway bounds all of these already.

Change: 64 KiB of head, 1 MiB of text and 4 MiB of an unstreamed response; beyond it the attempt counts as broken. What is read of the response to an order whose caller has left is no longer held in memory.

--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	// maxResponseBytes bounds an unstreamed response, which is buffered until it is complete.
-	maxResponseBytes = 16 << 20
+	// maxUnstreamedBytes bounds an unstreamed response, which is buffered until it is complete.
+	maxUnstreamedBytes = 4 << 20
+	// maxTextBytes bounds the text of a streamed response, which is kept so that another engine can continue it. It
+	// is longer than the context of a model.
+	maxTextBytes = 1 << 20
 	// maxEventBytes bounds one server-sent event.
 	maxEventBytes = 1 << 20
 	// streamBufferBytes is the size of a stream's read buffer. It holds several events that carry
@@ -175,6 +178,9 @@
 			continue
 		}
 		done := c.scanEvent(event)
+		if c.deliveredText.Len() > maxTextBytes {
+			return errLongText
+		}
 		if err := c.writeEvent(event, done || reader.Buffered() == 0); err != nil {
 			return err
 		}
@@ -227,6 +233,9 @@
 	}
 }
 
+// errLongText reports a stream whose text exceeds maxTextBytes.
+var errLongText = errors.New("daemon: the text of the response exceeds 1 MiB")
+
 // errCallerWrite reports a failed write to the caller.
 var errCallerWrite = errors.New("daemon: write to the caller failed")
 
@@ -254,12 +263,12 @@
 
 // copyUnstreamed reads an unstreamed response completely, then forwards it.
 func (c *chatResponder) copyUnstreamed(ctx context.Context, res *http.Response, x *exchange) wire.Result {
-	body, err := io.ReadAll(io.LimitReader(progressReader{r: res.Body, x: x}, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(progressReader{r: res.Body, x: x}, maxUnstreamedBytes+1))
 	if err != nil {
 		return resultOf(ctx, x, err)
 	}
 	isJSON := strings.HasPrefix(res.Header.Get("Content-Type"), "application/json")
-	if len(body) > maxResponseBytes || endedBeforeBody(res, len(body)) || (isJSON && !json.Valid(body)) {
+	if len(body) > maxUnstreamedBytes || endedBeforeBody(res, len(body)) || (isJSON && !json.Valid(body)) {
 		return wire.ResultBroken
 	}
 	c.scanChunk(body)
--- a/internal/daemon/plain.go
+++ b/internal/daemon/plain.go
@@ -17,6 +17,9 @@
 // the stored record by which a non-idempotent call runs at most once; see package claim.
 const maxRecordedBytes = 8 << 10
 
+// maxUnreadBytes bounds what is still read of the response to a non-idempotent call whose caller has disconnected.
+const maxUnreadBytes = 16 << 20
+
 // plainBufferBytes is the size of the buffer through which a response is copied.
 const plainBufferBytes = 4 << 10
 
@@ -121,11 +124,9 @@
 	if !p.nonIdempotent {
 		return wire.ResultCanceled
 	}
-	data, err := io.ReadAll(io.LimitReader(rest, maxResponseBytes))
-	if err != nil {
+	if _, err := io.Copy(responseRecorder{p}, io.LimitReader(rest, maxUnreadBytes)); err != nil {
 		return wire.ResultBroken
 	}
-	p.recordBody(data)
 	return wire.ResultComplete
 }
 
@@ -147,6 +148,15 @@
 	return err
 }
 
+// responseRecorder records what is written to it as the body of the response.
+type responseRecorder struct{ p *plainResponder }
+
+// Write implements io.Writer.
+func (r responseRecorder) Write(data []byte) (int, error) {
+	r.p.recordBody(data)
+	return len(data), nil
+}
+
 // recordBody counts the bytes of the response. Of a non-idempotent call it also keeps the start of
 // the response for the claim's outcome.
 func (p *plainResponder) recordBody(data []byte) {
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -26,7 +26,9 @@
 	idleConnsPerEngine = 64
 	// upstreamReadBytes and upstreamWriteBytes are the sizes of the buffers of a connection,
 	// which stay allocated while its stream is open. Larger reads and writes bypass the buffers.
-	upstreamReadBytes  = 2 << 10
+	upstreamReadBytes = 2 << 10
+	// maxHeadBytes bounds the head of an engine's response.
+	maxHeadBytes       = 64 << 10
 	upstreamWriteBytes = 1 << 10
 )
 
@@ -66,6 +68,8 @@
 		DisableCompression:  true,
 		WriteBufferSize:     upstreamWriteBytes,
 		ReadBufferSize:      upstreamReadBytes,
+		// The default, 10 MiB for each response, would let a faulty engine fill the memory.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
