internal/core: the loss of the watchers of the configuration is noticed by their reads

Instances that serve published files keep an old version, for up to 60 s, when the three watchers of their region are frozen or lose power.

Cause: a watcher counted as one while its heartbeats counted, the next watchers read the head only at their next poll, and a watch on a dead path lasted 32 s.

Change: heartbeats say when their sender last read the head. An instance that hears of no read for 1.5 s and a heartbeat interval reads it itself, spread over the fleet; if it is among the watchers then, it goes on to watch. Watches last 1 s.

--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -15,8 +15,13 @@
 	// watchersPerRegion is the number of instances of a region that watch the head, the
 	// platform's key with the newest manifest.
 	watchersPerRegion = 3
-	// maxWatchWait is the time limit of one watch call.
-	maxWatchWait = 30 * time.Second
+	// maxWatchWait is the time limit of one watch call, after which a watcher knows that it still reads the head.
+	maxWatchWait = time.Second
+	// headSilenceSlack is the part of headSilenceLimit for delays of the platform and the links.
+	headSilenceSlack = 500 * time.Millisecond
+	// silenceSpreadPerInstance, times the number of instances, is the time over which the fleet spreads the reads of
+	// the head that follow a loss of the watchers: 2,000 reads/s.
+	silenceSpreadPerInstance = 500 * time.Microsecond
 	// pollInterval is the time between reads of the head by instances without a watch.
 	// Heartbeats of peers announce new versions to them much earlier.
 	pollInterval = 60 * time.Second
@@ -43,6 +48,9 @@
 	// headReadPending is set while a read or watch of the head waits for its answer.
 	headReadPending bool
 	nextHeadRead    time.Duration
+	// headReadAt is when this instance last read the head, headKnownAt the latest time at which it or a peer is known
+	// to have read it.
+	headReadAt, headKnownAt time.Duration
 	// peerVersions is the configuration version of each peer's last heartbeat.
 	peerVersions map[fleet.InstanceID]uint64
 	// headReadFailed is set if the last read of the head failed.
@@ -77,7 +85,7 @@
 func (c *Core) Snapshot() *config.Snapshot { return c.snapshot }
 
 func (c *Core) tickConfig() {
-	if !c.configuration.headReadPending && c.mono() >= c.configuration.nextHeadRead {
+	if !c.configuration.headReadPending && (c.mono() >= c.configuration.nextHeadRead || c.watchersLost()) {
 		c.readHead()
 	}
 	if c.configuration.sourcePeer != "" && c.mono() >= c.configuration.sourceAskedAt+fetchTimeout {
@@ -89,6 +97,36 @@
 	}
 }
 
+// headSilenceLimit returns the time without a known read of the head after which the watchers count as lost.
+func (c *Core) headSilenceLimit() time.Duration {
+	return maxWatchWait + c.heartbeatInterval() + headSilenceSlack
+}
+
+// watchersLost reports whether no instance is known to read the head any more, so that this one must. After a failed
+// read of its own it waits for nextHeadRead.
+func (c *Core) watchersLost() bool {
+	spread := silenceSpreadPerInstance * time.Duration(len(c.view.Peers())+1)
+	turn := time.Duration(fleet.Hash("head", string(c.cfg.Instance)) % uint64(spread))
+	return !c.configuration.headReadFailed && c.mono()-c.configuration.headKnownAt >= c.headSilenceLimit()+turn
+}
+
+// headAgeMs returns how long ago this instance read the head, as heartbeats name it.
+func (c *Core) headAgeMs() uint32 {
+	age := c.mono() - c.configuration.headReadAt
+	if c.configuration.headReadAt == 0 || age >= c.headSilenceLimit() {
+		return 0
+	}
+	return millis(age) + 1
+}
+
+// peerHeadRead records when a peer last read the head, by its heartbeat.
+func (c *Core) peerHeadRead(ageMs uint32) {
+	if ageMs > 0 {
+		readAt := c.mono() - time.Duration(ageMs-1)*time.Millisecond
+		c.configuration.headKnownAt = max(c.configuration.headKnownAt, readAt)
+	}
+}
+
 // readHead starts a watch of the head if this instance is a watcher and has read it before;
 // otherwise it reads the head once.
 func (c *Core) readHead() {
@@ -141,6 +179,7 @@
 	default:
 		c.configuration.nextHeadRead = c.mono() + c.jitter(pollInterval)
 	}
+	c.configuration.headReadAt, c.configuration.headKnownAt = c.mono(), c.mono()
 	c.configuration.headRevision = ev.Entry.Revision
 	c.offerManifest(ev.Entry.Value, "")
 }
--- a/internal/core/heartbeats.go
+++ b/internal/core/heartbeats.go
@@ -26,6 +26,7 @@
 	}))
 	c.mergePoolTotals(from, m)
 	c.updateSaturated(m)
+	c.peerHeadRead(m.HeadAgeMs)
 	c.peerVersionReceived(from, m.ConfigVersion)
 }
 
@@ -117,6 +118,7 @@
 		ConfigVersion: c.configuration.version(),
 		Draining:      c.drain.active,
 		IntervalMs:    millis(c.heartbeatInterval()),
+		HeadAgeMs:     c.headAgeMs(),
 	}
 }
 
--- a/internal/harness/store.go
+++ b/internal/harness/store.go
@@ -156,6 +156,17 @@
 	s.answerWatches(e.Key)
 }
 
+// Watchers returns the nodes whose watch of a key waits.
+func (s *Store) Watchers(key string) []*Node {
+	var nodes []*Node
+	for _, w := range s.watches {
+		if w.key == key {
+			nodes = append(nodes, w.node)
+		}
+	}
+	return nodes
+}
+
 // removeWatch removes a waiting watch and reports whether it was still waiting.
 func (s *Store) removeWatch(w watch) bool {
 	for i, other := range s.watches {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -77,6 +77,9 @@
 	Full bool `cbor:"7,keyasint,omitempty"`
 	// IntervalMs is the sender's longest time between heartbeats.
 	IntervalMs uint32 `cbor:"8,keyasint,omitempty"`
+	// HeadAgeMs is the time since the sender itself last read the head of the configuration, plus one. It is 0 if
+	// that was long ago, and in messages of earlier releases.
+	HeadAgeMs uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // PoolTotal is the total load of those engines of a service whose home is the sender.
