internal/router: a watcher counts as reading until its next announcement is overdue

With 489 links a watcher announces a read every 2.4 s, and at its next read when another one has just done so, but counted as a reader for 2.8 s only. An instance that had begun to read for a moment could then go on for longer than needed.

--- a/internal/router/watchers.go
+++ b/internal/router/watchers.go
@@ -27,7 +27,7 @@
 	// is announced in small fleets.
 	minReadNoticeInterval = 250 * time.Millisecond
 	// readNoticePerLink, multiplied by the number of links, is the least time between StoreRead messages. With
-	// about 45 bytes each, a watcher sends at most 9 KB/s of them.
+	// 40 bytes each, a watcher sends at most 8 KB/s of them.
 	readNoticePerLink = 5 * time.Millisecond
 	// readSlack is the part of readSilenceLimit for delays of the store, the links and slow instances.
 	readSlack = 500 * time.Millisecond
@@ -59,7 +59,9 @@
 }
 
 // readsStore reports whether the peer is known to read changes from the store.
-func (r *Router) readsStore(p *peerState) bool { return r.now-p.readStoreAt < r.readSilenceLimit() }
+func (r *Router) readsStore(p *peerState) bool {
+	return r.now-p.readStoreAt < WatchWait+r.readNoticeInterval()+readSlack
+}
 
 func (r *Router) anyPeerReadsStore() bool {
 	for _, p := range r.members.linked {
