--- a/internal/router/currency.go
+++ b/internal/router/currency.go
@@ -43,8 +43,8 @@
 }
 
 // compareFacts compares this instance's copy with that of a peer, which was current as of peerCurrentAt and
-// whose newest revision is newest, or 0 if it did not say. A difference that lasts for repairDelay is repaired. It ends with an equal
-// digest of a peer that is at least as current as those that differed.
+// whose newest revision is newest, or 0 if it did not say. A difference that lasts for repairDelay is repaired.
+// It ends with an equal digest of a peer that is at least as current as those that differed.
 func (r *Router) compareFacts(from fleet.InstanceID, digest uint64, peerCurrentAt time.Duration, newest uint64) {
 	if digest == r.replica.Digest() {
 		r.store.currentAt = max(r.store.currentAt, peerCurrentAt)
