--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -98,7 +98,7 @@
 	id := fmt.Sprintf("i-%s-%d-%d", e.service, e.number, e.starts)
 	s := &standin.Engine{ID: id, Service: e.service, Streams: e.streams, DataCentre: zones[e.number%len(zones)]}
 	if e.streams {
-		s.Events, s.EventInterval = 45, 12*time.Millisecond
+		s.Events, s.EventInterval = 55, 16*time.Millisecond
 	} else {
 		s.WorkTime = 15 * time.Millisecond
 	}
--- a/review/bed-2/quarantined.go
+++ b/review/bed-2/quarantined.go
@@ -15,8 +15,8 @@
 	// and each is back after downTime.
 	trafficTime = 80 * time.Second
 	crashAt     = 8 * time.Second
-	crashWave   = 2
-	crashGap    = 150 * time.Millisecond
+	crashWave   = 1
+	crashGap    = 110 * time.Millisecond
 	downTime    = 4500 * time.Millisecond
 )
 
@@ -40,7 +40,7 @@
 // count counts the requests of a kind by when they were sent: before the crashes, and after all engines are back.
 type count struct{ asked, served, askedAfter, servedAfter, refusedAfter int }
 
-// quarantinedKind crashes the engines of a service one pair after the other. It checks that no kind of request is
+// quarantinedKind crashes the engines of a service one after the other. It checks that no kind of request is
 // served less than a quarter as often as all.
 func quarantinedKind(b *bed) (bool, error) {
 	var pool []*engine
