review: case 6, orders that have run are answered 503

With the admission queue on, an order that an engine rejected may be sent to it again, under the same id and mostly on the same connection. A faulty engine that sends its rejection a second time, late, is then believed: the order runs and is answered 503. Rule REFUSED.

--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -28,6 +28,9 @@
 	host      = "ficu95.example"
 )
 
+// smallContracts are those of kkl-restock.
+const smallContracts = `["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]`
+
 // bed is a small deployment: a store, engines and gateways.
 type bed struct {
 	record  *record
@@ -38,6 +41,10 @@
 	engines  []*engine
 	gateways []*gateway
 	version  int
+	// orderTimeout is the timeout of the route of orders.
+	orderTimeout time.Duration
+	// contracts lists the parts of the platform's rules that are in force.
+	contracts string
 }
 
 // newBed starts the store. Its record goes to a file.
@@ -54,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &bed{record: &record{file: file, start: time.Now()}, trouble: trouble, dir: dir, store: store}, nil
+	return &bed{record: &record{file: file, start: time.Now()}, trouble: trouble, dir: dir, store: store, contracts: smallContracts, orderTimeout: 600 * time.Millisecond}, nil
 }
 
 // close ends all processes and removes the temporary folder.
@@ -199,10 +206,10 @@
 retry_reserve: 54
 retry_window: 10s
 load_limit: 2
-contracts: ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]
+contracts: %s
 warm_up_overshoot: 
 warm_up_slack: 
-`, g.name, zone, g.caller, g.ready, g.peer, g.metrics, g.bed.store.Addr, list)
+`, g.name, zone, g.caller, g.ready, g.peer, g.metrics, g.bed.store.Addr, list, g.bed.contracts)
 }
 
 func (g *gateway) start() error {
@@ -280,7 +287,7 @@
 		route("/plan/", "streaming", "pool", stream(800, 12000, 1, 1, false)),
 		route("/chat/", "streaming", "pool", stream(400, 10000, 0, 2, true)),
 		route("/tag/", "streaming", "pool", stream(500, 3000, 2, 1, false)),
-		route("/order/", "non_idempotent", "desk", nil),
+		route("/order/", "non_idempotent", "desk", map[string]any{"timeout_ms": b.orderTimeout.Milliseconds()}),
 		route("/stock/", "idempotent", "desk", map[string]any{"max_attempts": 2}),
 	}
 	for i := range 110 {
--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -26,6 +26,7 @@
 	"lagging-configuration": laggingConfiguration,
 	"quarantined-kind":      quarantinedKind,
 	"odd-entry":             oddEntry,
+	"repeated-refusals":     repeatedRefusals,
 }
 
 func main() { os.Exit(run()) }
