--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -24,7 +24,6 @@
 
 var cases = map[string]func(*bed) (broken bool, err error){
 	"lagging-configuration": laggingConfiguration,
-	"quarantined-kind":      quarantinedKind,
 	"odd-entry":             oddEntry,
 	"repeated-refusals":     repeatedRefusals,
 }
