--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -41,6 +41,8 @@
 	engines  []*engine
 	gateways []*gateway
 	version  int
+	// idleRoutes is the number of routes without requests, configBytes the size of the last configuration.
+	idleRoutes, configBytes int
 	// orderTimeout is the timeout of the route of orders.
 	orderTimeout time.Duration
 	// contracts lists the parts of the platform's rules that are in force.
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &bed{record: &record{file: file, start: time.Now()}, trouble: trouble, dir: dir, store: store, contracts: smallContracts, orderTimeout: 600 * time.Millisecond}, nil
+	return &bed{record: &record{file: file, start: time.Now()}, trouble: trouble, dir: dir, store: store, contracts: smallContracts, orderTimeout: 600 * time.Millisecond, idleRoutes: 110}, nil
 }
 
 // close ends all processes and removes the temporary folder.
@@ -290,8 +292,8 @@
 		route("/order/", "non_idempotent", "desk", map[string]any{"timeout_ms": b.orderTimeout.Milliseconds()}),
 		route("/stock/", "idempotent", "desk", map[string]any{"max_attempts": 2}),
 	}
-	for i := range 110 {
-		routes = append(routes, route(fmt.Sprintf("/idle%03d/", i), "idempotent", "desk", nil))
+	for i := range b.idleRoutes {
+		routes = append(routes, route(fmt.Sprintf("/idle%05d/", i), "idempotent", "desk", nil))
 	}
 	var tenants []any
 	for i := range 10 {
@@ -305,6 +307,7 @@
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
 	})
+	b.configBytes = len(value)
 	b.store.Put("op/config", value)
 	return time.Now()
 }
--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(*bed) (broken bool, err error){
 	"lagging-configuration": laggingConfiguration,
 	"odd-entry":             oddEntry,
+	"deaf-readers":          deafReaders,
 	"repeated-refusals":     repeatedRefusals,
 }
 
--- a/review/bed-2/oddentry.go
+++ b/review/bed-2/oddentry.go
@@ -46,7 +46,7 @@
 			if _, err := rand.Read(value); err != nil {
 				return false, err
 			}
-			b.store.Put(fmt.Sprintf("servers/odd-%d", i), value)
+			b.store.putOdd(fmt.Sprintf(oddPrefix+"%d", i), value)
 		}
 		b.note("another writer puts %d entries of %d bytes that can't be read", oddEntries, oddEntryBytes)
 	}
@@ -57,19 +57,19 @@
 		acknowledged := time.Now()
 		revoked := fmt.Sprintf("key%d-0", n)
 		b.note("the store has acknowledged version %d, which takes %s away", b.version, revoked)
-		broken = b.checkKey(n, revoked, acknowledged) || broken
+		broken = b.checkKey(n, revoked, acknowledged, revocationGap) || broken
 	}
 	return broken, nil
 }
 
-// checkKey sends requests with a revoked key to all gateways until revocationGap after the acknowledgement, and reports
+// checkKey sends requests with a revoked key to all gateways for a time after the acknowledgement, and reports
 // whether an engine ran one that was sent later than configApply.
-func (b *bed) checkKey(n int, revoked string, acknowledged time.Time) bool {
+func (b *bed) checkKey(n int, revoked string, acknowledged time.Time, length time.Duration) bool {
 	var results sync.Map
 	var clients sync.WaitGroup
 	for i, g := range b.gateways {
 		clients.Go(func() {
-			for m := 0; time.Since(acknowledged) < revocationGap; m++ {
+			for m := 0; time.Since(acknowledged) < length; m++ {
 				id := fmt.Sprintf("k%d-%d-%d", n, i, m)
 				results.Store(id, b.send(g, "GET", "/stock/item", id, revoked, "", 600*time.Millisecond))
 				time.Sleep(20 * time.Millisecond)
