--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -318,6 +319,9 @@
 	status int
 	// signed reports whether the answer bears an engine's signature, whole whether it was not cut off.
 	signed, whole bool
+	// kept reports whether the request went on a connection that had carried another one, timedOut whether the client
+	// gave up at its deadline.
+	kept, timedOut bool
 }
 
 // served reports whether the request was answered with success.
@@ -350,12 +354,16 @@
 		r.Header.Set("X-Prompt-Prefix", prompt)
 	}
 	a := answer{sent: time.Now()}
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.kept = c.Reused }}))
 	client := http.Client{Transport: clientConns, Timeout: deadline}
 	res, err := client.Do(r)
 	if err == nil {
 		_, readErr := io.Copy(io.Discard, res.Body)
 		_ = res.Body.Close()
+		a.timedOut = os.IsTimeout(readErr)
 		a.status, a.signed, a.whole = res.StatusCode, res.Header.Get("X-Response-Signature") != "", readErr == nil
+	} else {
+		a.timedOut = os.IsTimeout(err)
 	}
 	b.record.line(a.sent, "%s %s %s key %s sent to %s: status %d signed %t whole %t after %d ms", id, method, path, key, g.name,
 		a.status, a.signed, a.whole, time.Since(a.sent).Milliseconds())
--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -24,6 +24,7 @@
 
 var cases = map[string]func(*bed) (broken bool, err error){
 	"lagging-configuration": laggingConfiguration,
+	"departed-entries":      departedEntries,
 	"odd-entry":             oddEntry,
 	"deaf-readers":          deafReaders,
 	"repeated-refusals":     repeatedRefusals,
--- a/review/bed-2/store.go
+++ b/review/bed-2/store.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"sync"
 
 	"github.com/bilberrywell/bilberrywell/internal/standin/simutil"
@@ -67,6 +68,14 @@
 	s.odd = append(s.odd, listedItem{key, item})
 }
 
+// removeOdd removes an entry of the other writer.
+func (s *storeServer) removeOdd(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Delete(key)
+	s.odd = slices.DeleteFunc(s.odd, func(i listedItem) bool { return i.key == key })
+}
+
 func (s *storeServer) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/api/kv-range" || r.URL.Query().Get("prefix") != "" {
 		s.Store.ServeHTTP(w, r)
