--- a/review/bed-2/refusals.go
+++ b/review/bed-2/refusals.go
@@ -17,7 +17,8 @@
 const (
 	// deskEngines is the number of engines of the service, and faultyEngines how many of them send extra answers: 0.5.
 	deskEngines, faultyEngines = 2, 1
-	// extraShare is the share of their rejections of which they send a second copy, for extraTime in every extraPeriod.
+	// extraShare is the share of their answers of which they send a second copy, for extraTime in every extraPeriod. They
+	// copy rejections only.
 	extraShare  = 0.03
 	extraTime   = 5 * time.Second
 	extraPeriod = 6 * time.Second
@@ -30,7 +31,7 @@
 	busyGateways  = 2
 	busyPerSecond = 220
 	calmPause     = 50 * time.Millisecond
-	orderTime     = 102 * time.Second
+	orderTime     = 110 * time.Second
 )
 
 // desk is an engine without streams that rejects what exceeds its slots. If it is faulty, it sends some rejections a
@@ -45,8 +46,10 @@
 	mu      sync.Mutex
 	running int
 	ran     map[string]int
-	extras  int
-	matched int
+	// answers counts the answers in the times of extra answers, planned the copies that were or will be sent.
+	answers, planned int
+	extras           int
+	matched          int
 }
 
 func (b *bed) startDesk(n int) (*desk, error) {
@@ -111,13 +114,14 @@
 			if _, err := io.WriteString(c, rejection); err != nil {
 				return
 			}
-			if d.faulty && time.Since(d.bed.record.start)%extraPeriod < extraTime && rand.Float64() < extraShare {
+			if d.countAnswer(true) {
 				extra, extraID = rejection, id
 			}
 			continue
 		}
 		time.Sleep(deskWork)
 		load := d.end()
+		d.countAnswer(false)
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s.%s\r\nX-Instance-Load: %d,0,%d\r\nKeep-Alive: timeout=5\r\nContent-Length: 5\r\n\r\norder",
 			id, d.id, id, load, deskSlots); err != nil {
 			return
@@ -146,6 +150,21 @@
 	return d.running
 }
 
+// countAnswer counts an answer and reports whether a copy of it is to be sent.
+func (d *desk) countAnswer(rejection bool) bool {
+	if !d.faulty || time.Since(d.bed.record.start)%extraPeriod >= extraTime {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answers++
+	if !rejection || float64(d.planned+1) > extraShare*float64(d.answers) {
+		return false
+	}
+	d.planned++
+	return true
+}
+
 // repeatedRefusals sends orders, which may run at most once, to a service that is at times full. It checks that none runs
 // twice, and that none that was answered 503 has run.
 func repeatedRefusals(b *bed) (bool, error) {
