internal/router: what a peer had read before its link opened is requested at once

Cause: the returned reader lists the store and announces that it has read it, which keeps the others from reading it themselves. But it relays only what it reads after its first list, and the others wait for a relay that never comes: 0.5 s before they request the difference, and 0.7 s for the tree of a configuration of 4 KB or more.

Change: an instance whose copy has not been known to be current since the link to a peer opened, while the peer's is, requests the difference at once, and the large values that the answer names too.

--- a/internal/router/currency.go
+++ b/internal/router/currency.go
@@ -43,8 +43,9 @@
 }
 
 // compareFacts compares this instance's copy with that of a peer, which was current as of peerCurrentAt and
-// whose newest revision is newest, or 0 if it did not say. A difference that lasts for repairDelay is repaired.
-// It ends with an equal digest of a peer that is at least as current as those that differed.
+// whose newest revision is newest, or 0 if it did not say. A difference that lasts for repairDelay is repaired,
+// and one that the peer does not relay at once. It ends with an equal digest of a peer that is at least as current
+// as those that differed.
 func (r *Router) compareFacts(from fleet.InstanceID, digest uint64, peerCurrentAt time.Duration, newest uint64) {
 	if digest == r.replica.Digest() {
 		r.store.currentAt = max(r.store.currentAt, peerCurrentAt)
@@ -60,7 +61,8 @@
 	if r.relays.laggingSince == 0 {
 		r.relays.laggingSince = r.now
 	}
-	if r.replica.NewestRevision() > 0 && r.now-r.relays.laggingSince < repairDelay || r.now < r.relays.nextRepair {
+	wait := r.replica.NewestRevision() > 0 && r.now-r.relays.laggingSince < repairDelay && !r.heldBeforeLink(from, peerCurrentAt)
+	if wait || r.now < r.relays.nextRepair {
 		return
 	}
 	r.relays.nextRepair = r.now + repairInterval
@@ -68,3 +70,10 @@
 		"own", replica.FormatRevision(r.replica.NewestRevision()), "lagging_ms", (r.now - r.relays.laggingSince).Milliseconds()}})
 	r.emit(SendMessage{To: from, Message: &wire.FactsRequest{Buckets: r.replica.BucketDigests()}})
 }
+
+// heldBeforeLink reports whether what a peer has and this instance lacks may be what the peer had when their link
+// opened. The peer relays only what it reads later. Its copy is current as of peerCurrentAt.
+func (r *Router) heldBeforeLink(peer fleet.InstanceID, peerCurrentAt time.Duration) bool {
+	p := r.members.linked[peer]
+	return p != nil && r.store.currentAt < p.linkedAt && r.store.currentAt < peerCurrentAt
+}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -52,7 +52,9 @@
 }
 
 type peerState struct {
-	incarnation      uint64
+	incarnation uint64
+	// linkedAt is when the link opened.
+	linkedAt         time.Duration
 	lastStatusReport *wire.StatusReport
 	// lastReportAt is when lastStatusReport arrived, or when the link opened if none has arrived.
 	lastReportAt time.Duration
@@ -92,7 +94,7 @@
 }
 
 func (r *Router) peerUp(ev PeerUp) {
-	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, lastReportAt: r.now, readStoreAt: never, watcherScore: watcherScore(ev.Instance)}
+	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, linkedAt: r.now, lastReportAt: r.now, readStoreAt: never, watcherScore: watcherScore(ev.Instance)}
 	r.emit(Decision{Kind: "peer_up", Fields: []any{"peer", ev.Instance}})
 	r.rebuildGrid()
 	r.sendStatusReport(ev.Instance)
--- a/internal/router/readers_test.go
+++ b/internal/router/readers_test.go
@@ -71,6 +71,43 @@
 	}
 }
 
+// Guards against an instance whose early return from a loss of all readers keeps the others from reading the store, while
+// they wait for a configuration that it does not send them.
+func TestChangesArriveInTimeWhenAReaderReturnsEarly(t *testing.T) {
+	for _, size := range []struct {
+		instances, engines, lost int
+		bound                    time.Duration
+		returns                  []time.Duration
+	}{
+		{7, 4, 4, 2 * time.Second, between(50*time.Millisecond, 1500*time.Millisecond, 50*time.Millisecond)},
+		{82, 94, 50, 3 * time.Second, between(250*time.Millisecond, 2750*time.Millisecond, 500*time.Millisecond)},
+	} {
+		for _, configBytes := range []int{1, 2 * largeValueBytes} {
+			for _, after := range size.returns {
+				f := newStoreFleet(t, size.instances, size.engines)
+				f.configBytes = configBytes
+				// The last read before the loss is as recent as it can be.
+				f.run(f.untilHeartbeat())
+				order := f.watcherOrder()
+				for _, id := range order[:size.lost] {
+					f.members[id].dark = true
+				}
+				f.at(f.now+after, func() { f.start(order[0]) })
+				require.Less(t, f.awaitChange(order[size.lost:]), size.bound, "%d instances, %d bytes, back after %v", size.instances, configBytes, after)
+			}
+		}
+	}
+}
+
+// between returns the times from first to last at a distance of step.
+func between(first, last, step time.Duration) []time.Duration {
+	var times []time.Duration
+	for at := first; at <= last; at += step {
+		times = append(times, at)
+	}
+	return times
+}
+
 // Guards against watchers of a fleet of 490 that spend more than their links may carry on telling the others that
 // they read the store, and against a loss of all of them that is noticed too late for a bound of 4 s.
 func TestReadNoticesFitALargeFleet(t *testing.T) {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -65,8 +65,9 @@
 type announcement struct {
 	from fleet.InstanceID
 	// fact is the announced fact without its value.
-	fact       replica.Fact
-	receivedAt time.Duration
+	fact replica.Fact
+	// requestAt is when the value is requested unless it has arrived.
+	requestAt time.Duration
 }
 
 func (s *relayState) init() {
@@ -260,8 +261,14 @@
 }
 
 func (r *Router) announcementReceived(from fleet.InstanceID, w wire.StoreFact) {
-	if known, ok := r.relays.announced[w.Key]; !ok || r.factOf(w).NewerThan(known.fact) {
-		r.relays.announced[w.Key] = announcement{from: from, fact: r.factOf(w), receivedAt: r.now}
+	a := announcement{from: from, fact: r.factOf(w), requestAt: r.now + announcementTimeout}
+	if r.heldBeforeLink(from, r.now) {
+		// The peer starts no tree.
+		a.requestAt = r.now
+	}
+	known, ok := r.relays.announced[w.Key]
+	if !ok || a.fact.NewerThan(known.fact) || !known.fact.NewerThan(a.fact) && a.requestAt < known.requestAt {
+		r.relays.announced[w.Key] = a
 	}
 }
 
@@ -293,7 +300,7 @@
 			delete(r.relays.announced, key)
 			continue
 		}
-		if r.now-a.receivedAt < announcementTimeout {
+		if r.now < a.requestAt {
 			continue
 		}
 		delete(r.relays.announced, key)
--- a/internal/router/storefleet_test.go
+++ b/internal/router/storefleet_test.go
@@ -1,9 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
-	"strconv"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,6 +18,8 @@
 const (
 	// fleetStep is the granularity of time in a storeFleet, and the time that a message or a store call takes.
 	fleetStep = 5 * time.Millisecond
+	// fleetHeartbeat is the time between two writes of an engine's registration.
+	fleetHeartbeat = 2 * time.Second
 	// The others are those of packages gateway, platform and peer.
 	fleetTick        = 50 * time.Millisecond
 	fleetCallTimeout = 1500 * time.Millisecond
@@ -37,6 +40,10 @@
 	silent []fleet.InstanceID
 	// received counts the bytes that each instance received.
 	received map[fleet.InstanceID]int
+	// plans holds what is to happen at a time.
+	plans map[time.Duration]func()
+	// configBytes is the least size of the configurations that are published.
+	configBytes int
 }
 
 type fleetMember struct {
@@ -109,7 +116,7 @@
 }
 
 func newStoreFleet(t *testing.T, n, engines int) *storeFleet {
-	f := &storeFleet{t: t, members: map[fleet.InstanceID]*fleetMember{}, received: map[fleet.InstanceID]int{}}
+	f := &storeFleet{t: t, members: map[fleet.InstanceID]*fleetMember{}, received: map[fleet.InstanceID]int{}, plans: map[time.Duration]func(){}}
 	f.store.put("config", "1")
 	for i := range engines {
 		f.store.put(fmt.Sprintf("engines/e%d", i), "ready")
@@ -134,10 +141,13 @@
 	f.linkSilent(id)
 }
 
+// at plans an event for a time, which is a multiple of fleetStep.
+func (f *storeFleet) at(when time.Duration, event func()) { f.plans[when] = event }
+
 // publish writes a configuration, and returns its version.
 func (f *storeFleet) publish() uint64 {
 	version := f.store.revision + 1
-	f.store.put("config", strconv.FormatUint(version, 10))
+	f.store.put("config", fmt.Sprintf("%-*d", f.configBytes, version))
 	return version
 }
 
@@ -152,6 +162,16 @@
 	return ids
 }
 
+// watcherOrder returns the instances in the order in which they are to read the store.
+func (f *storeFleet) watcherOrder() []fleet.InstanceID {
+	return slices.SortedFunc(slices.Values(f.ids), func(a, b fleet.InstanceID) int { return cmp.Compare(watcherScore(b), watcherScore(a)) })
+}
+
+// untilHeartbeat returns the time until the next heartbeat of an engine has been read and announced.
+func (f *storeFleet) untilHeartbeat() time.Duration {
+	return fleetHeartbeat - f.now%fleetHeartbeat + 10*fleetStep
+}
+
 // requireInForce checks that all working instances have put a version in force by a time.
 func (f *storeFleet) requireInForce(version uint64, by time.Duration) {
 	f.t.Helper()
@@ -166,7 +186,10 @@
 func (f *storeFleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; {
 		f.now += fleetStep
-		if f.now%(400*fleetStep) == 0 {
+		if event := f.plans[f.now]; event != nil {
+			event()
+		}
+		if f.now%fleetHeartbeat == 0 {
 			f.heartbeat()
 		}
 		f.deliver()
