gateway: a connection to an engine never carries a request twice

Cause: a request that was rejected for lack of room may go to the same engine again, under the same id and mostly on the connection that had carried the rejection. The late copy bears that id and was taken for the answer to the second sending, so the request counted as rejected while the engine ran it. Ruled out: a refusal that crosses the sending, since it would also happen with sound engines.

Change: a request keeps the connections that have carried it, and the pool gives it none of these again. On each connection the id then identifies the answer.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -17,6 +17,7 @@
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/router"
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
 )
 
 // defaultMaxBodyBytes bounds a request body while no configuration sets the limit.
@@ -35,6 +36,8 @@
 	// heldBody is the number of bytes that count in the instance's bodyMemory.
 	heldBody int64
 
+	// carriers are the connections to engines that have carried the request.
+	carriers []*upstream.Conn
 	// headerWritten reports whether the header of an engine's response was written to the caller.
 	headerWritten atomic.Bool
 	// heldFailure is an engine's failure response that is held back while another attempt may follow.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -106,10 +107,12 @@
 	idleLifetime time.Duration
 }
 
-// Get returns an idle connection to an address, or opens one.
-func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
+// Get returns an idle connection to an address, or opens one. It returns none of carriers, the connections that have
+// carried the request before: a faulty engine may send a response again at the point where the next one is expected, and
+// only the id of the request tells them apart.
+func (p *Pool) Get(ctx context.Context, addr string, carriers ...*Conn) (*Conn, error) {
 	for {
-		c := p.take(addr)
+		c := p.take(addr, carriers)
 		if c == nil {
 			break
 		}
@@ -155,17 +158,19 @@
 
 var errLargeHead = errors.New("the head of the response exceeds 64 KiB")
 
-// take removes the idle connection to an address that was added last and returns it, or nil without one.
-func (p *Pool) take(addr string) *Conn {
+// take removes the idle connection to an address that was added last, except those in carriers, and returns it, or nil
+// without one.
+func (p *Pool) take(addr string, carriers []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !slices.Contains(carriers, c) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Put adds an idle connection whose exchange has ended cleanly, or closes it if the pool holds as many
