gateway: count and log what callers' connections hold when they end

No line told where a caller's connection ended and what it held then, so the hypotheses (a handler that ends without a response, a deadline that ends a request, a request that crosses the close) could not be told apart.

Change: each end of a caller's connection is counted by the side that ended it and by what it held: nothing, bytes that were not read, part of a request, or a request that was not answered. All but the first are logged.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -11,14 +11,16 @@
 type callerListener struct {
 	net.Listener
 	idleLimit, headerLimit func() time.Duration
+	// ended is called when a connection ends, with what it held.
+	ended func(c *callerConn, held string)
 
 	mu      sync.Mutex
 	open    map[*callerConn]bool
 	retired bool
 }
 
-func newCallerListener(l net.Listener, idleLimit, headerLimit func() time.Duration) *callerListener {
-	return &callerListener{Listener: l, idleLimit: idleLimit, headerLimit: headerLimit, open: make(map[*callerConn]bool)}
+func newCallerListener(l net.Listener, idleLimit, headerLimit func() time.Duration, ended func(c *callerConn, held string)) *callerListener {
+	return &callerListener{Listener: l, idleLimit: idleLimit, headerLimit: headerLimit, ended: ended, open: make(map[*callerConn]bool)}
 }
 
 // Accept implements net.Listener.
@@ -50,6 +52,7 @@
 type callerConn struct {
 	net.Conn
 	listener *callerListener
+	use      connUse
 
 	// mu guards the state and orders changes of the read deadline.
 	mu sync.Mutex
@@ -61,8 +64,12 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.listener.mu.Lock()
+	first := c.listener.open[c]
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
+	if first {
+		c.listener.ended(c, c.held())
+	}
 	return c.Conn.Close()
 }
 
@@ -74,6 +81,11 @@
 	if active && !c.active {
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
+	if active && !c.active {
+		c.use.requests.Add(1)
+	} else if !active {
+		c.use.becameIdle()
+	}
 	c.active = active
 	c.used = c.used || active
 }
@@ -97,6 +109,7 @@
 	if !c.active {
 		t = c.idleDeadline(t)
 	}
+	c.use.forgetTimeout()
 	return c.Conn.SetReadDeadline(t)
 }
 
--- /dev/null
+++ b/internal/gateway/callerconn_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// connPair is a caller's connection and the gateway's end of it.
+type connPair struct {
+	caller net.Conn
+	conn   *callerConn
+	// idleLimit is the idle timeout of the configuration in force, held what the connection held when it ended.
+	idleLimit time.Duration
+	held      []string
+}
+
+func newConnPair(t *testing.T) *connPair {
+	p := &connPair{idleLimit: time.Minute}
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := newCallerListener(opened, func() time.Duration { return p.idleLimit }, func() time.Duration { return time.Minute },
+		func(_ *callerConn, held string) { p.held = append(p.held, held) })
+	p.caller, err = net.Dial("tcp", opened.Addr().String())
+	require.NoError(t, err)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	p.conn = accepted.(*callerConn)
+	p.conn.setActive(false)
+	t.Cleanup(func() {
+		_ = p.caller.Close()
+		_ = accepted.Close()
+		_ = l.Close()
+	})
+	return p
+}
+
+// send sends bytes and waits until they have arrived.
+func (p *connPair) send(t *testing.T, text string) {
+	_, err := p.caller.Write([]byte(text))
+	require.NoError(t, err)
+	require.Eventually(t, p.conn.unread, 5*time.Second, time.Millisecond)
+}
+
+func (p *connPair) read(t *testing.T) string {
+	b := make([]byte, 100)
+	n, err := p.conn.Read(b)
+	require.NoError(t, err)
+	return string(b[:n])
+}
+
+// Guards against requests without an answer of which no line tells where their connection ended and what it held.
+func TestEndOfAConnectionTellsWhatItHeld(t *testing.T) {
+	for held, prepare := range map[string]func(t *testing.T, p *connPair){
+		heldNothing: func(*testing.T, *connPair) {},
+		heldUnread:  func(t *testing.T, p *connPair) { p.send(t, "GET / HTTP/1.1\r\n\r\n") },
+		heldPart: func(t *testing.T, p *connPair) {
+			p.send(t, "GET / HT")
+			require.Equal(t, "GET / HT", p.read(t))
+		},
+		heldRequest: func(_ *testing.T, p *connPair) { p.conn.use.held.Store(&callerRequest{}) },
+	} {
+		p := newConnPair(t)
+		prepare(t, p)
+		_ = p.conn.Close()
+		_ = p.conn.Close()
+		require.Equal(t, []string{held}, p.held)
+	}
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -57,6 +57,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &callerRequest{g: g, w: w, r: r, responseController: http.NewResponseController(w), callHead: g.protocol.ReadCall(r.Header)}
+	release := c.hold()
 	c.lastEvent = c.callHead.LastEvent
 	c.target = requestTarget(r)
 	// The request counts from here on, so that a planned stop waits for its body too.
@@ -64,11 +65,11 @@
 	defer g.calls.remove(id)
 	defer c.releaseBody()
 	c.id = id
-	if c.headerTooLarge() || !c.readBody() {
-		return
+	if !c.headerTooLarge() && c.readBody() {
+		g.step(router.CallArrived{Call: callOf(id, c.callHead, r.Host, r.Method, c.target, c.body, arrived)})
+		c.executeAll(commands)
 	}
-	g.step(router.CallArrived{Call: callOf(id, c.callHead, r.Host, r.Method, c.target, c.body, arrived)})
-	c.executeAll(commands)
+	release()
 }
 
 // callOf returns what decisions about a request depend on. target is the path and query of its request line.
--- /dev/null
+++ b/internal/gateway/connend.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// connUse is what a caller's connection has carried since it was last idle, and how it ended.
+type connUse struct {
+	// requests is the number of requests whose header has arrived since the connection was opened.
+	requests atomic.Int64
+	// received and sent are the bytes since the connection was last idle, idleSince is when that was, in Unix
+	// nanoseconds.
+	received, sent, idleSince atomic.Int64
+	// held is the request whose handler has begun and has not returned, or nil.
+	held atomic.Pointer[callerRequest]
+	// readErr is the error of the last read, and writeErr that of the last write, or nil.
+	readErr, writeErr atomic.Pointer[error]
+}
+
+// becameIdle begins a new period.
+func (u *connUse) becameIdle() {
+	u.received.Store(0)
+	u.sent.Store(0)
+	u.idleSince.Store(time.Now().UnixNano())
+}
+
+// forgetTimeout removes an error that a new read deadline ends. net/http ends its own reads in this way.
+func (u *connUse) forgetTimeout() {
+	if err := u.readErr.Load(); err != nil && errors.Is(*err, os.ErrDeadlineExceeded) {
+		u.readErr.Store(nil)
+	}
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.use.received.Add(int64(n))
+	setError(&c.use.readErr, err)
+	return n, err
+}
+
+// setError stores an error, or nil.
+func setError(to *atomic.Pointer[error], err error) {
+	switch {
+	case err != nil:
+		to.Store(&err)
+	case to.Load() != nil:
+		to.Store(nil)
+	}
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.use.sent.Add(int64(n))
+	setError(&c.use.writeErr, err)
+	return n, err
+}
+
+// What a connection held when it ended.
+const (
+	heldNothing = "nothing"
+	// heldUnread are bytes that the gateway has not read, heldPart a request that is not read completely.
+	heldUnread  = "unread"
+	heldPart    = "part"
+	heldRequest = "request"
+)
+
+// held returns what the connection holds.
+func (c *callerConn) held() string {
+	switch {
+	case c.use.held.Load() != nil:
+		return heldRequest
+	case c.use.sent.Load() == 0 && c.use.received.Load() > 0:
+		return heldPart
+	case c.unread():
+		return heldUnread
+	}
+	return heldNothing
+}
+
+// unread reports whether bytes have arrived that were not read.
+func (c *callerConn) unread() bool {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// endedBy returns which side ended the connection, with the error that shows it.
+func (u *connUse) endedBy() (string, error) {
+	for _, stored := range []*atomic.Pointer[error]{&u.readErr, &u.writeErr} {
+		if err := stored.Load(); err != nil {
+			if errors.Is(*err, os.ErrDeadlineExceeded) || errors.Is(*err, net.ErrClosed) {
+				return "gateway", *err
+			}
+			return "caller", *err
+		}
+	}
+	return "gateway", nil
+}
+
+// connEnded counts the end of a caller's connection, and logs it if the connection held anything.
+func (g *Gateway) connEnded(c *callerConn, held string) {
+	by, err := c.use.endedBy()
+	g.metrics.set.GetOrCreateCounter(fmt.Sprintf("bilberry_caller_connections_ended_total{by=%q,held=%q}", by, held)).Inc()
+	if held == heldNothing {
+		return
+	}
+	fields := []any{"caller", c.RemoteAddr().String(), "by", by, "held", held, "requests", c.use.requests.Load(),
+		"received", c.use.received.Load(), "sent", c.use.sent.Load(), "error", errorText(err)}
+	if idle := c.use.idleSince.Load(); idle > 0 {
+		fields = append(fields, "since_idle_ms", time.Since(time.Unix(0, idle)).Milliseconds())
+	}
+	if r := c.use.held.Load(); r != nil {
+		fields = append(fields, "request", r.callHead.ID, "header_written", r.headerWritten.Load())
+	}
+	klog.InfoS("caller_connection_ended", fields...)
+}
+
+// errorText returns the text of the error that ended a connection.
+func errorText(err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, io.EOF):
+		return "closed"
+	}
+	return err.Error()
+}
+
+// callerConnKey is the key of a request's connection in its context.
+type callerConnKey struct{}
+
+// withCallerConn makes the connection known to the handlers of its requests.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// hold records that the request's connection holds it until release. A handler that panics does not release it.
+func (c *callerRequest) hold() (release func()) {
+	conn, ok := c.r.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return func() {}
+	}
+	conn.use.held.Store(c)
+	return func() { conn.use.held.Store(nil) }
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -56,7 +56,7 @@
 			return nil, oops.In("gateway").With("listener", l.name).Wrapf(err, "listen on %s", l.addr)
 		}
 		if l.name == "callers" {
-			g.callerListener = newCallerListener(opened, g.idleTimeout, g.headerTimeout)
+			g.callerListener = newCallerListener(opened, g.idleTimeout, g.headerTimeout, g.connEnded)
 			opened = g.callerListener
 		}
 		l.server.ErrorLog = log.New(io.Discard, "", 0)
@@ -71,6 +71,7 @@
 		ReadHeaderTimeout:            headerTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ConnContext:                  withCallerConn,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if conn, ok := c.(*callerConn); ok {
 				conn.setActive(state == http.StateActive)
