gateway: callers are told the idle timeout, and requests that have arrived are read

Cause: they crossed the close of connections that had been idle for the configured 15 s and a slack of 2 s. Gateways never told callers of that time. Found by reading: if the timeout and a request are noticed at the same time, on a machine that stood still or is busy, the connection was closed with the request unread.

Change: responses announce the idle timeout in Keep-Alive, and the connection stays open for it and the slack, whatever configuration follows. An idle connection with bytes to read is not closed.

The tests failed before: TestResponsesAnnounceTheIdleTimeout (no header), TestIdleTimeoutThatWasAnnouncedHolds (1 s for 15 s), TestRequestThatArrivedBeforeTheIdleTimeoutIsRead (timeout in place of the request).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -366,6 +366,7 @@
 	if closing {
 		header.Set("Connection", "close")
 	}
+	c.announceIdle(header)
 	if length >= 0 {
 		header["Content-Length"] = []string{formatInt(length)}
 	}
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -59,6 +61,8 @@
 	// active reports whether a request's header has arrived and its response is not complete yet, and used whether
 	// the connection has carried a request. A retired connection carries no second one.
 	active, used, retired bool
+	// promised is the idle timeout that the last response announced, or 0.
+	promised time.Duration
 }
 
 // Close implements net.Conn.
@@ -101,6 +105,36 @@
 	}
 }
 
+// Read implements net.Conn. A request that has arrived when the idle timeout is noticed is read: on a machine that
+// stood still both are found at the same time, and closing the connection would lose the request.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.receive(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
+		return c.receive(b)
+	}
+	return n, err
+}
+
+// extendIdle replaces the deadline of an idle connection by the header timeout if a request has begun to arrive.
+func (c *callerConn) extendIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active || c.use.received.Load() > 0 || !c.unread() {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerLimit())) == nil
+}
+
+// promiseIdle returns the idle timeout that the response to the active request announces, in whole seconds, or 0 for none.
+// It holds for the connection whatever configuration comes into force.
+func (c *callerConn) promiseIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seconds := int((c.listener.idleLimit() - idleSlack) / time.Second)
+	c.promised = time.Duration(max(seconds, 0)) * time.Second
+	return max(seconds, 0)
+}
+
 // SetReadDeadline replaces the timeouts of net/http by the configured ones while no request is active:
 // the idle timeout if net/http sets none, and the header timeout if that is shorter.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
@@ -119,6 +153,9 @@
 		return now
 	}
 	if t.IsZero() {
+		if c.promised > 0 {
+			return now.Add(c.promised + idleSlack)
+		}
 		return now.Add(c.listener.idleLimit())
 	}
 	if limit := now.Add(c.listener.headerLimit()); limit.Before(t) {
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -69,3 +70,33 @@
 		require.Equal(t, []string{held}, p.held)
 	}
 }
+
+// Guards against a request without an answer that arrives while the machine stands still: when it goes on, the idle timeout
+// of the connection has passed too.
+func TestRequestThatArrivedBeforeTheIdleTimeoutIsRead(t *testing.T) {
+	p := newConnPair(t)
+	p.send(t, "GET / HTTP/1.1\r\n\r\n")
+	p.idleLimit = -time.Second
+	require.NoError(t, p.conn.SetReadDeadline(time.Time{}))
+	require.Equal(t, "GET / HTTP/1.1\r\n\r\n", p.read(t))
+	require.NoError(t, p.conn.SetReadDeadline(time.Time{}))
+	_, err := p.conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "a part of a request does not prolong the wait")
+}
+
+// Guards against requests without an answer after a configuration with a shorter idle timeout, which cross the close of
+// connections whose callers were told a longer one.
+func TestIdleTimeoutThatWasAnnouncedHolds(t *testing.T) {
+	p := newConnPair(t)
+	p.idleLimit = 15*time.Second + idleSlack
+	p.conn.setActive(true)
+	require.Equal(t, 15, p.conn.promiseIdle())
+	p.conn.setActive(false)
+	p.idleLimit = time.Second
+	left := func() time.Duration { return time.Until(p.conn.idleDeadline(time.Time{})) }
+	require.Greater(t, left(), 15*time.Second)
+	p.conn.setActive(true)
+	require.Zero(t, p.conn.promiseIdle())
+	p.conn.setActive(false)
+	require.LessOrEqual(t, left(), time.Second)
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -294,6 +294,7 @@
 	if c.g.draining.Load() {
 		header.Set("Connection", "close")
 	}
+	c.announceIdle(header)
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -41,8 +43,8 @@
 	}
 }
 
-// Read implements net.Conn.
-func (c *callerConn) Read(b []byte) (int, error) {
+// receive reads from the connection.
+func (c *callerConn) receive(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.use.received.Add(int64(n))
 	setError(&c.use.readErr, err)
@@ -157,10 +159,28 @@
 	return context.WithValue(ctx, callerConnKey{}, conn)
 }
 
+// callerConn returns the request's connection, or nil if it is not known.
+func (c *callerRequest) callerConn() *callerConn {
+	conn, _ := c.r.Context().Value(callerConnKey{}).(*callerConn)
+	return conn
+}
+
+// announceIdle announces in the header of the response for how long the connection stays open for another request. Callers
+// that keep to it send none that crosses the close of the connection.
+func (c *callerRequest) announceIdle(header http.Header) {
+	conn := c.callerConn()
+	if conn == nil || c.r.Close || !c.r.ProtoAtLeast(1, 1) || header.Get("Connection") != "" {
+		return
+	}
+	if seconds := conn.promiseIdle(); seconds > 0 {
+		header.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
+
 // hold records that the request's connection holds it until release. A handler that panics does not release it.
 func (c *callerRequest) hold() (release func()) {
-	conn, ok := c.r.Context().Value(callerConnKey{}).(*callerConn)
-	if !ok {
+	conn := c.callerConn()
+	if conn == nil {
 		return func() {}
 	}
 	conn.use.held.Store(c)
