internal/router: a retry that could not be sent is not counted again

Cause: its engine fell silent and the attempt was ended for another engine, which the release had replaced, so nothing could be sent there. The attempt had used up the counted retry all the same. The next one had to be counted again, and the budget had nothing left. The log shows stalled, unsent with a dial timeout, and retry_denied in this order; the time limit and the choice of engines are ruled out by it.

Change: what was counted for an attempt that was not sent serves the next one. No more requests reach engines than before.

TestStalledStreamGoesOnWhereItCanBeSent failed before, with and without load control. Found while the users' LOST report was looked for; whether it is what they saw is not known.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -87,6 +87,8 @@
 func (r *Router) countAttempt(c *call, o Outcome) {
 	switch o {
 	case Unsent:
+		// No engine has got a request, so what was counted serves the next attempt.
+		c.retryCounted = c.attemptCounted
 	case Rejected, Misdirected:
 		c.reachedAttempts++
 	default:
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -80,6 +80,8 @@
 	reachedAttempts, possibleRuns int
 	// retryCounted is set from the time when the next attempt is counted in the retry budget until it is sent.
 	retryCounted bool
+	// attemptCounted reports whether the last attempt that was sent was counted in the retry budget.
+	attemptCounted bool
 	// lastFailedAlike reports whether the last attempt ended with a failure that other engines may share.
 	lastFailedAlike bool
 	// partDelivered reports whether a part of a response has reached the caller.
@@ -279,7 +281,8 @@
 	c.choiceReason = choice.Reason
 	c.cacheFetch = choice.FetchFrom != ""
 	c.sentAt, c.pool = r.now, pool
-	c.reported, c.running, c.retryCounted = false, true, false
+	c.reported, c.running = false, true
+	c.attemptCounted, c.retryCounted = c.retryCounted, false
 	r.countStarted(c, pool)
 	pool.engines.Started(c.engine)
 	pool.engines.TakeToken(r.now, c.engine)
--- a/internal/router/stalls_test.go
+++ b/internal/router/stalls_test.go
@@ -174,6 +174,29 @@
 	}
 }
 
+// Guards against a stream that is cut because the engine that was to go on with it could not be reached: nothing was sent
+// there, but the next attempt was counted as a further retry, of which none is left.
+func TestStalledStreamGoesOnWhereItCanBeSent(t *testing.T) {
+	for _, loadControl := range []bool{false, true} {
+		s := newSession(t, 4)
+		s.r.cfg.LoadControl = loadControl
+		first := s.call("/chat/x")
+		pool := s.r.pools["s"]
+		for pool.budget.Remaining(s.now) >= 2 {
+			require.True(t, pool.budget.Allow(s.now))
+		}
+		s.step(AttemptStalled{Call: s.last, Engine: first.Engine.ID, Delivered: true})
+		must[EndStalledAttempt](s)
+		s.step(AttemptEnded{Call: s.last, Outcome: Stalled, Delivered: true})
+		must[Send](s)
+		require.Less(t, pool.budget.Remaining(s.now), 1.0)
+		s.step(AttemptEnded{Call: s.last, Outcome: Unsent, Delivered: true})
+		must[Send](s)
+		s.step(AttemptEnded{Call: s.last, Outcome: Broken, Delivered: true})
+		must[Refuse](s)
+	}
+}
+
 // Guards against a second engine's response behind a part that was delivered after the silence was reported and
 // before the attempt was ended for it.
 func TestPartDeliveredBeforeAStalledAttemptEnds(t *testing.T) {
