gateway: the announced idle timeout stands beside the other timeouts

Cause: announceIdle stood in the file of the record of connections that end, whose names did not say what they hold. No change of behaviour.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -54,7 +57,7 @@
 type callerConn struct {
 	net.Conn
 	listener *callerListener
-	use      connUse
+	record   connRecord
 
 	// mu guards the state and orders changes of the read deadline.
 	mu sync.Mutex
@@ -82,13 +85,12 @@
 func (c *callerConn) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if active && !c.active {
+	switch {
+	case !active:
+		c.record.becameIdle()
+	case !c.active:
 		_ = c.Conn.SetReadDeadline(time.Time{})
-	}
-	if active && !c.active {
-		c.use.requests.Add(1)
-	} else if !active {
-		c.use.becameIdle()
+		c.record.requests.Add(1)
 	}
 	c.active = active
 	c.used = c.used || active
@@ -119,20 +121,19 @@
 func (c *callerConn) extendIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active || c.use.received.Load() > 0 || !c.unread() {
+	if c.active || c.record.received.Load() > 0 || !c.unread() {
 		return false
 	}
 	return c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerLimit())) == nil
 }
 
 // promiseIdle returns the idle timeout that the response to the active request announces, in whole seconds, or 0 for none.
-// It holds for the connection whatever configuration comes into force.
-func (c *callerConn) promiseIdle() int {
+// The connection keeps to it whatever configuration comes into force.
+func (c *callerConn) promiseIdle() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	seconds := int((c.listener.idleLimit() - idleSlack) / time.Second)
-	c.promised = time.Duration(max(seconds, 0)) * time.Second
-	return max(seconds, 0)
+	c.promised = max(c.listener.idleLimit()-idleSlack, 0).Truncate(time.Second)
+	return c.promised
 }
 
 // SetReadDeadline replaces the timeouts of net/http by the configured ones while no request is active:
@@ -143,7 +144,7 @@
 	if !c.active {
 		t = c.idleDeadline(t)
 	}
-	c.use.forgetTimeout()
+	c.record.forgetTimeout()
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -163,3 +164,29 @@
 	}
 	return t
 }
+
+// callerConnKey is the key of a request's connection in its context.
+type callerConnKey struct{}
+
+// withCallerConn makes the connection known to the handlers of its requests.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// callerConn returns the request's connection, or nil if it is not known.
+func (c *callerRequest) callerConn() *callerConn {
+	conn, _ := c.r.Context().Value(callerConnKey{}).(*callerConn)
+	return conn
+}
+
+// announceIdle announces in the header of the response for how long the connection stays open for another request. Callers
+// that keep to it send none that crosses the close of the connection.
+func (c *callerRequest) announceIdle(header http.Header) {
+	conn := c.callerConn()
+	if conn == nil || c.r.Close || !c.r.ProtoAtLeast(1, 1) || header.Get("Connection") != "" {
+		return
+	}
+	if timeout := conn.promiseIdle(); timeout > 0 {
+		header.Set("Keep-Alive", fmt.Sprintf("timeout=%d", timeout/time.Second))
+	}
+}
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -61,7 +61,7 @@
 			p.send(t, "GET / HT")
 			require.Equal(t, "GET / HT", p.read(t))
 		},
-		heldRequest: func(_ *testing.T, p *connPair) { p.conn.use.held.Store(&callerRequest{}) },
+		heldRequest: func(_ *testing.T, p *connPair) { p.conn.record.held.Store(&callerRequest{}) },
 	} {
 		p := newConnPair(t)
 		prepare(t, p)
@@ -90,7 +90,7 @@
 	p := newConnPair(t)
 	p.idleLimit = 15*time.Second + idleSlack
 	p.conn.setActive(true)
-	require.Equal(t, 15, p.conn.promiseIdle())
+	require.Equal(t, 15*time.Second, p.conn.promiseIdle())
 	p.conn.setActive(false)
 	p.idleLimit = time.Second
 	left := func() time.Duration { return time.Until(p.conn.idleDeadline(time.Time{})) }
--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -1,14 +1,11 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,8 +13,8 @@
 	"k8s.io/klog/v2"
 )
 
-// connUse is what a caller's connection has carried since it was last idle, and how it ended.
-type connUse struct {
+// connRecord is what is known of a caller's connection for the log: what it has carried, and how it ended.
+type connRecord struct {
 	// requests is the number of requests whose header has arrived since the connection was opened.
 	requests atomic.Int64
 	// received and sent are the bytes since the connection was last idle, idleSince is when that was, in Unix
@@ -30,14 +27,14 @@
 }
 
 // becameIdle begins a new period.
-func (u *connUse) becameIdle() {
+func (u *connRecord) becameIdle() {
 	u.received.Store(0)
 	u.sent.Store(0)
 	u.idleSince.Store(time.Now().UnixNano())
 }
 
 // forgetTimeout removes an error that a new read deadline ends. net/http ends its own reads in this way.
-func (u *connUse) forgetTimeout() {
+func (u *connRecord) forgetTimeout() {
 	if err := u.readErr.Load(); err != nil && errors.Is(*err, os.ErrDeadlineExceeded) {
 		u.readErr.Store(nil)
 	}
@@ -46,8 +43,8 @@
 // receive reads from the connection.
 func (c *callerConn) receive(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.use.received.Add(int64(n))
-	setError(&c.use.readErr, err)
+	c.record.received.Add(int64(n))
+	setError(&c.record.readErr, err)
 	return n, err
 }
 
@@ -64,8 +61,8 @@
 // Write implements net.Conn.
 func (c *callerConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.use.sent.Add(int64(n))
-	setError(&c.use.writeErr, err)
+	c.record.sent.Add(int64(n))
+	setError(&c.record.writeErr, err)
 	return n, err
 }
 
@@ -81,9 +78,9 @@
 // held returns what the connection holds.
 func (c *callerConn) held() string {
 	switch {
-	case c.use.held.Load() != nil:
+	case c.record.held.Load() != nil:
 		return heldRequest
-	case c.use.sent.Load() == 0 && c.use.received.Load() > 0:
+	case c.record.sent.Load() == 0 && c.record.received.Load() > 0:
 		return heldPart
 	case c.unread():
 		return heldUnread
@@ -110,7 +107,7 @@
 }
 
 // endedBy returns which side ended the connection, with the error that shows it.
-func (u *connUse) endedBy() (string, error) {
+func (u *connRecord) endedBy() (string, error) {
 	for _, stored := range []*atomic.Pointer[error]{&u.readErr, &u.writeErr} {
 		if err := stored.Load(); err != nil {
 			if errors.Is(*err, os.ErrDeadlineExceeded) || errors.Is(*err, net.ErrClosed) {
@@ -124,17 +121,17 @@
 
 // connEnded counts the end of a caller's connection, and logs it if the connection held anything.
 func (g *Gateway) connEnded(c *callerConn, held string) {
-	by, err := c.use.endedBy()
+	by, err := c.record.endedBy()
 	g.metrics.set.GetOrCreateCounter(fmt.Sprintf("bilberry_caller_connections_ended_total{by=%q,held=%q}", by, held)).Inc()
 	if held == heldNothing {
 		return
 	}
-	fields := []any{"caller", c.RemoteAddr().String(), "by", by, "held", held, "requests", c.use.requests.Load(),
-		"received", c.use.received.Load(), "sent", c.use.sent.Load(), "error", errorText(err)}
-	if idle := c.use.idleSince.Load(); idle > 0 {
+	fields := []any{"caller", c.RemoteAddr().String(), "by", by, "held", held, "requests", c.record.requests.Load(),
+		"received", c.record.received.Load(), "sent", c.record.sent.Load(), "error", errorText(err)}
+	if idle := c.record.idleSince.Load(); idle > 0 {
 		fields = append(fields, "since_idle_ms", time.Since(time.Unix(0, idle)).Milliseconds())
 	}
-	if r := c.use.held.Load(); r != nil {
+	if r := c.record.held.Load(); r != nil {
 		fields = append(fields, "request", r.callHead.ID, "header_written", r.headerWritten.Load())
 	}
 	klog.InfoS("caller_connection_ended", fields...)
@@ -151,38 +148,12 @@
 	return err.Error()
 }
 
-// callerConnKey is the key of a request's connection in its context.
-type callerConnKey struct{}
-
-// withCallerConn makes the connection known to the handlers of its requests.
-func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
-}
-
-// callerConn returns the request's connection, or nil if it is not known.
-func (c *callerRequest) callerConn() *callerConn {
-	conn, _ := c.r.Context().Value(callerConnKey{}).(*callerConn)
-	return conn
-}
-
-// announceIdle announces in the header of the response for how long the connection stays open for another request. Callers
-// that keep to it send none that crosses the close of the connection.
-func (c *callerRequest) announceIdle(header http.Header) {
-	conn := c.callerConn()
-	if conn == nil || c.r.Close || !c.r.ProtoAtLeast(1, 1) || header.Get("Connection") != "" {
-		return
-	}
-	if seconds := conn.promiseIdle(); seconds > 0 {
-		header.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
-	}
-}
-
 // hold records that the request's connection holds it until release. A handler that panics does not release it.
 func (c *callerRequest) hold() (release func()) {
 	conn := c.callerConn()
 	if conn == nil {
 		return func() {}
 	}
-	conn.use.held.Store(c)
-	return func() { conn.use.held.Store(nil) }
+	conn.record.held.Store(c)
+	return func() { conn.record.held.Store(nil) }
 }
