internal/router: differences are repaired by the clock, not with the next message

It requested what a peer had read before its link opened with the first message. After the start of a fleet all links are new, so all instances would have requested a change from the first reader that they heard of, although it was on its way.

Change: a difference is repaired by the tick, after 0.5 s, or 0.1 s if it may predate the link; it ends when the facts have arrived. The wait for the tree of a value that a repair names counts from the difference.

TestDifferenceIsRepairedWithoutAnotherMessage, TestRelayedDifference- IsNotRepaired and TestUnrelayedDifferenceIsRepairedSoon failed before. The test of early returns now also returns the last reader and the one that follows.

--- a/internal/router/currency_test.go
+++ b/internal/router/currency_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/replica"
 )
 
 // changeDelay is the time within which a change of the store must be in force at all instances of a small fleet.
@@ -60,3 +62,77 @@
 	}
 	require.Equal(t, f.members[f.readers()[0]].known, m.known)
 }
+
+// readAnnounced lets a peer announce a read of the store that shows a copy with a digest.
+func (s *session) readAnnounced(digest uint64) {
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreRead{FactsDigest: digest}})
+}
+
+// tick lets time pass, and returns the requests for facts that follow.
+func (s *session) tick(d time.Duration) []SendMessage {
+	s.advance(d)
+	s.step(Tick{})
+	return s.sent(wire.KindFactsRequest)
+}
+
+// changedBy returns the digest of the session's copy with further facts.
+func (s *session) changedBy(facts ...replica.Fact) uint64 {
+	copied := replica.New(s.r.contentHash)
+	copied.Merge(s.r.replica.All())
+	copied.Merge(facts)
+	return copied.Digest()
+}
+
+// Guards against an instance that lacks a change and waits for another message of a peer, and once more for the tree of a
+// large value, before it requests the change: a silent link to the one that relays it is enough.
+func TestDifferenceIsRepairedWithoutAnotherMessage(t *testing.T) {
+	s := newSession(t, 3)
+	s.link(3)
+	s.advance(time.Second)
+	s.readAnnounced(s.r.replica.Digest())
+	s.readAnnounced(1)
+	require.Empty(t, s.tick(repairDelay-time.Millisecond))
+	asked := s.tick(time.Millisecond)
+	require.Len(t, asked, 1)
+	require.Equal(t, fleet.InstanceID("i2"), asked[0].To)
+	require.NotEmpty(t, asked[0].Message.(*wire.FactsRequest).Buckets)
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "config", Revision: 300, ValueOmitted: true}}}})
+	require.Empty(t, s.tick(announcementTimeout-repairDelay-time.Millisecond))
+	asked = s.tick(time.Millisecond)
+	require.Len(t, asked, 1)
+	require.Equal(t, []string{"config"}, asked[0].Message.(*wire.FactsRequest).Keys)
+}
+
+// Guards against instances that all request a change from the first reader that they hear of, although it is on its way: after
+// the start of a fleet all links are new.
+func TestRelayedDifferenceIsNotRepaired(t *testing.T) {
+	for name, newLink := range map[string]bool{"old link": false, "new link": true} {
+		s := newSession(t, 3)
+		s.advance(time.Second)
+		s.link(3)
+		if !newLink {
+			s.advance(time.Second)
+			s.readAnnounced(s.r.replica.Digest())
+		}
+		change := replica.Fact{Key: "engines/e1", Revision: 300, Value: []byte("draining")}
+		s.advance(time.Second)
+		s.readAnnounced(s.changedBy(change))
+		require.Empty(t, s.sent(wire.KindFactsRequest), name)
+		require.Empty(t, s.tick(unrelayedRepairDelay/2), name)
+		s.step(PeerMessage{From: "i3", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{wireFact(change)}}})
+		require.Empty(t, s.tick(repairDelay), name)
+		require.Equal(t, s.now-unrelayedRepairDelay/2-repairDelay, s.r.store.currentAt, name)
+	}
+}
+
+// Guards against a wait for a relay that never comes, of what a peer had read before the link to it opened.
+func TestUnrelayedDifferenceIsRepairedSoon(t *testing.T) {
+	s := newSession(t, 3)
+	s.advance(time.Second)
+	s.link(3)
+	s.advance(time.Second)
+	s.readAnnounced(1)
+	require.Len(t, s.tick(unrelayedRepairDelay), 1)
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "config", Revision: 300, ValueOmitted: true}}}})
+	require.Len(t, s.tick(0), 1)
+}
--- a/internal/router/readers_test.go
+++ b/internal/router/readers_test.go
@@ -83,7 +83,7 @@
 		{82, 94, 50, 3 * time.Second, between(250*time.Millisecond, 2750*time.Millisecond, 500*time.Millisecond)},
 	} {
 		for _, configBytes := range []int{1, 2 * largeValueBytes} {
-			for _, after := range size.returns {
+			for i, after := range size.returns {
 				f := newStoreFleet(t, size.instances, size.engines)
 				f.configBytes = configBytes
 				// The last read before the loss is as recent as it can be.
@@ -92,7 +92,9 @@
 				for _, id := range order[:size.lost] {
 					f.members[id].dark = true
 				}
-				f.at(f.now+after, func() { f.start(order[0]) })
+				// In turn the first reader, the last one, and the instance that follows them.
+				returned := order[[]int{0, watcherCount - 1, watcherCount}[i%3]]
+				f.at(f.now+after, func() { f.start(returned) })
 				require.Less(t, f.awaitChange(order[size.lost:]), size.bound, "%d instances, %d bytes, back after %v", size.instances, configBytes, after)
 			}
 		}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -50,10 +50,10 @@
 	batchAt time.Duration
 	// packed holds the last compressed value of each key.
 	packed map[string]wire.StoreFact
-	// laggingSince is when a difference from a peer's facts was first seen, or 0 without one. differedAt is
-	// the latest time as of which a peer with other facts was current.
-	laggingSince time.Duration
-	differedAt   time.Duration
+	// difference is the one from a peer's facts that is to be repaired. The last repair was requested of
+	// repairedFrom, the next one may be at nextRepair.
+	difference   difference
+	repairedFrom fleet.InstanceID
 	nextRepair   time.Duration
 }
 
@@ -75,7 +75,7 @@
 	s.packed = make(map[string]wire.StoreFact)
 	s.plannedTrees = make(map[string]plannedTree)
 	s.treeStartedAt = make(map[string]time.Duration)
-	s.differedAt = never
+	s.difference.at = never
 }
 
 // relay sends peers the facts that this instance read from the store. Large values are distributed
@@ -271,9 +271,12 @@
 
 func (r *Router) announcementReceived(from fleet.InstanceID, w wire.StoreFact) {
 	a := announcement{from: from, fact: r.factOf(w), requestAt: r.now + announcementTimeout}
-	if r.heldBeforeLink(from, r.now) {
-		// The peer starts no tree.
-		a.requestAt = r.now
+	if d := r.relays.difference; d.peer != "" && r.repairRequested(from) {
+		// A tree would have brought the value since the difference was seen, unless the peer starts none.
+		a.requestAt = d.since + announcementTimeout
+		if r.predatesLink(from, d.at) {
+			a.requestAt = r.now
+		}
 	}
 	known, ok := r.relays.announced[w.Key]
 	if !ok || a.fact.NewerThan(known.fact) || !known.fact.NewerThan(a.fact) && a.requestAt < known.requestAt {
@@ -303,6 +306,7 @@
 
 // tickRelay starts the trees that are due and requests announced values that did not arrive in time.
 func (r *Router) tickRelay() {
+	r.tickCurrency()
 	r.startTrees()
 	for key, a := range r.relays.announced {
 		if held, ok := r.replica.Get(key); ok && !replaces(a.fact, held) {
