gateway, upstream, httputil: one look for unread bytes, one slack of idle timeouts

Found by a second reading. Cause: the look for unread bytes on a caller's connection was written a second time beside that of engine connections, and the slack of the idle timeout was added in one file and subtracted in another, so that without a configuration 58 s were announced in place of 60 s.

Change: httputil.Peek serves both; connections know the configured timeout and add httputil.IdleSlack in one place. Names: a request has usedConns, a connection an announced timeout. No other change of behaviour.

Measured: tests of internal/gateway, internal/upstream and platform pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,12 +84,12 @@
 }
 
 func (a *attempt) run() {
-	conn, err := a.g.engineConns.Get(a.ctx, a.cmd.Engine.Addr, a.carriers...)
+	conn, err := a.g.engineConns.Get(a.ctx, a.cmd.Engine.Addr, a.usedConns...)
 	if err != nil {
 		a.fail(router.Unsent, err)
 		return
 	}
-	a.carriers = append(a.carriers, conn)
+	a.usedConns = append(a.usedConns, conn)
 	a.exchange, err = a.g.engineConns.Do(a.ctx, conn, a.request(), a.ownerOf)
 	if err != nil {
 		outcome := router.Broken
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -3,19 +3,21 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 )
 
 // callerListener wraps connections so that their timeouts follow the configuration in force. The
 // timeouts of net/http are fixed when the server starts.
 type callerListener struct {
 	net.Listener
-	idleLimit, headerLimit func() time.Duration
+	// idleTimeout and headerTimeout are those of the configuration in force.
+	idleTimeout, headerTimeout func() time.Duration
 	// ended is called when a connection ends, with what it held.
 	ended func(c *callerConn, held string)
 
@@ -24,8 +26,8 @@
 	retired bool
 }
 
-func newCallerListener(l net.Listener, idleLimit, headerLimit func() time.Duration, ended func(c *callerConn, held string)) *callerListener {
-	return &callerListener{Listener: l, idleLimit: idleLimit, headerLimit: headerLimit, ended: ended, open: make(map[*callerConn]bool)}
+func newCallerListener(l net.Listener, idleTimeout, headerTimeout func() time.Duration, ended func(c *callerConn, held string)) *callerListener {
+	return &callerListener{Listener: l, idleTimeout: idleTimeout, headerTimeout: headerTimeout, ended: ended, open: make(map[*callerConn]bool)}
 }
 
 // Accept implements net.Listener.
@@ -64,17 +66,17 @@
 	// active reports whether a request's header has arrived and its response is not complete yet, and used whether
 	// the connection has carried a request. A retired connection carries no second one.
 	active, used, retired bool
-	// promised is the idle timeout that the last response announced, or 0.
-	promised time.Duration
+	// announced is the idle timeout that the last response announced, or 0.
+	announced time.Duration
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.listener.mu.Lock()
-	first := c.listener.open[c]
+	open := c.listener.open[c]
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
-	if first {
+	if open {
 		c.listener.ended(c, c.held())
 	}
 	return c.Conn.Close()
@@ -111,29 +113,29 @@
 // stood still both are found at the same time, and closing the connection would lose the request.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.receive(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.prolong() {
 		return c.receive(b)
 	}
 	return n, err
 }
 
-// extendIdle replaces the deadline of an idle connection by the header timeout if a request has begun to arrive.
-func (c *callerConn) extendIdle() bool {
+// prolong replaces the deadline of an idle connection by the header timeout if a request has begun to arrive.
+func (c *callerConn) prolong() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active || c.record.received.Load() > 0 || !c.unread() {
 		return false
 	}
-	return c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerLimit())) == nil
+	return c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerTimeout())) == nil
 }
 
-// promiseIdle returns the idle timeout that the response to the active request announces, in whole seconds, or 0 for none.
-// The connection keeps to it whatever configuration comes into force.
-func (c *callerConn) promiseIdle() time.Duration {
+// announceIdle returns the idle timeout that the response to the active request announces. The connection keeps to it
+// whatever configuration comes into force.
+func (c *callerConn) announceIdle() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.promised = max(c.listener.idleLimit()-idleSlack, 0).Truncate(time.Second)
-	return c.promised
+	c.announced = c.listener.idleTimeout()
+	return c.announced
 }
 
 // SetReadDeadline replaces the timeouts of net/http by the configured ones while no request is active:
@@ -154,12 +156,13 @@
 		return now
 	}
 	if t.IsZero() {
-		if c.promised > 0 {
-			return now.Add(c.promised + idleSlack)
+		timeout := c.announced
+		if timeout == 0 {
+			timeout = c.listener.idleTimeout()
 		}
-		return now.Add(c.listener.idleLimit())
+		return now.Add(timeout + httputil.IdleSlack)
 	}
-	if limit := now.Add(c.listener.headerLimit()); limit.Before(t) {
+	if limit := now.Add(c.listener.headerTimeout()); limit.Before(t) {
 		return limit
 	}
 	return t
@@ -179,14 +182,9 @@
 	return conn
 }
 
-// announceIdle announces in the header of the response for how long the connection stays open for another request. Callers
-// that keep to it send none that crosses the close of the connection.
+// announceIdle announces in the header of the response for how long the connection stays open for another request.
 func (c *callerRequest) announceIdle(header http.Header) {
-	conn := c.callerConn()
-	if conn == nil || c.r.Close || !c.r.ProtoAtLeast(1, 1) || header.Get("Connection") != "" {
-		return
-	}
-	if timeout := conn.promiseIdle(); timeout > 0 {
-		header.Set("Keep-Alive", fmt.Sprintf("timeout=%d", timeout/time.Second))
+	if conn := c.callerConn(); conn != nil {
+		httputil.AnnounceIdle(header, c.r, conn.announceIdle())
 	}
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -36,8 +36,8 @@
 	// heldBody is the number of bytes that count in the instance's bodyMemory.
 	heldBody int64
 
-	// carriers are the connections to engines that have carried the request.
-	carriers []*upstream.Conn
+	// usedConns are the connections to engines that have carried the request.
+	usedConns []*upstream.Conn
 	// headerWritten reports whether the header of an engine's response was written to the caller.
 	headerWritten atomic.Bool
 	// heldFailure is an engine's failure response that is held back while another attempt may follow.
--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -7,10 +7,11 @@
 	"net"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 )
 
 // connRecord is what is known of a caller's connection for the log: what it has carried, and how it ended.
@@ -90,20 +91,8 @@
 
 // unread reports whether bytes have arrived that were not read.
 func (c *callerConn) unread() bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
+	arrived, err := httputil.Peek(c.Conn)
+	return err == nil && arrived
 }
 
 // endedBy returns which side ended the connection, with the error that shows it.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -22,9 +22,6 @@
 	maxHeaderBytes = 64 << 10
 	// defaultIdleTimeout applies to idle caller connections while no configuration sets a timeout.
 	defaultIdleTimeout = time.Minute
-	// idleSlack is added to the configured idle timeout, so that a connection is never closed while a
-	// caller that keeps to the timeout sends a request on it.
-	idleSlack = 2 * time.Second
 )
 
 // peerListener is the name of the listener for links of peers.
@@ -95,7 +92,7 @@
 // idleTimeout returns how long a caller's connection may be idle by the configuration in force.
 func (g *Gateway) idleTimeout() time.Duration {
 	if t := g.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
-		return t.Limits.IdleTimeout + idleSlack
+		return t.Limits.IdleTimeout
 	}
 	return defaultIdleTimeout
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 )
 
 const (
@@ -107,12 +109,12 @@
 	idleLifetime time.Duration
 }
 
-// Get returns an idle connection to an address, or opens one. It returns none of carriers, the connections that have
+// Get returns an idle connection to an address, or opens one. It returns none of used, the connections that have
 // carried the request before: a faulty engine may send a response again at the point where the next one is expected, and
 // only the id of the request tells them apart.
-func (p *Pool) Get(ctx context.Context, addr string, carriers ...*Conn) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, addr string, used ...*Conn) (*Conn, error) {
 	for {
-		c := p.take(addr, carriers)
+		c := p.take(addr, used)
 		if c == nil {
 			break
 		}
@@ -158,14 +160,14 @@
 
 var errLargeHead = errors.New("the head of the response exceeds 64 KiB")
 
-// take removes the idle connection to an address that was added last, except those in carriers, and returns it, or nil
+// take removes the idle connection to an address that was added last, except those in used, and returns it, or nil
 // without one.
-func (p *Pool) take(addr string, carriers []*Conn) *Conn {
+func (p *Pool) take(addr string, used []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; !slices.Contains(carriers, c) {
+		if c := list[i]; !slices.Contains(used, c) {
 			p.idle[addr] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -272,22 +274,8 @@
 // openAndEmpty reports whether an idle connection is open and has no bytes to read, since bytes that
 // arrive between exchanges belong to no request.
 func (c *Conn) openAndEmpty() bool {
-	sys, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	openAndEmpty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		openAndEmpty = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && openAndEmpty
+	_, err := httputil.Peek(c.netConn)
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
 }
 
 // setIdleLifetime sets idleLifetime from the timeout in the engine's Keep-Alive header.
