gateway: the rest of a header that has arrived when its timeout is noticed is read

Change: any deadline before a request is active gives way to one more header timeout if bytes have arrived, once for each request, so that a caller that sends a byte now and then gains no more than that.

TestRestOfAHeaderThatArrivedBeforeItsTimeoutIsRead failed before (timeout).

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -68,6 +68,8 @@
 	active, used, retired bool
 	// announced is the idle timeout that the last response announced, or 0.
 	announced time.Duration
+	// prolonged is set once the wait for the next request has been prolonged.
+	prolonged bool
 }
 
 // Close implements net.Conn.
@@ -90,6 +92,7 @@
 	switch {
 	case !active:
 		c.record.becameIdle()
+		c.prolonged = false
 	case !c.active:
 		_ = c.Conn.SetReadDeadline(time.Time{})
 		c.record.requests.Add(1)
@@ -109,7 +112,7 @@
 	}
 }
 
-// Read implements net.Conn. A request that has arrived when the idle timeout is noticed is read: on a machine that
+// Read implements net.Conn. Bytes of a request that have arrived when a timeout is noticed are read: on a machine that
 // stood still both are found at the same time, and closing the connection would lose the request.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.receive(b)
@@ -119,13 +122,15 @@
 	return n, err
 }
 
-// prolong replaces the deadline of an idle connection by the header timeout if a request has begun to arrive.
+// prolong replaces a deadline that has passed by the header timeout if bytes have arrived and no request is active, once
+// for each request.
 func (c *callerConn) prolong() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active || c.record.received.Load() > 0 || !c.unread() {
+	if c.active || c.prolonged || !c.unread() {
 		return false
 	}
+	c.prolonged = true
 	return c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerTimeout())) == nil
 }
 
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -88,6 +88,22 @@
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing has arrived")
 }
 
+// Guards against a request of which a part was read before the machine stood still for longer than the header timeout, and
+// against a caller that sends a byte now and then and so keeps its connection.
+func TestRestOfAHeaderThatArrivedBeforeItsTimeoutIsRead(t *testing.T) {
+	p := newConnPair(t)
+	p.send(t, "GET / HT")
+	require.Equal(t, "GET / HT", p.read(t))
+	p.send(t, "TP/1.1\r\n\r\n")
+	past := func() { require.NoError(t, p.conn.SetReadDeadline(time.Now().Add(-time.Second))) }
+	past()
+	require.Equal(t, "TP/1.1\r\n\r\n", p.read(t))
+	p.send(t, "x")
+	past()
+	_, err := p.conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
 // Guards against requests without an answer after a configuration with a shorter idle timeout, which cross the close of
 // connections whose callers were told a longer one.
 func TestIdleTimeoutThatWasAnnouncedHolds(t *testing.T) {
