daemon: responses announce the idle timeout

Found by a second reading: daemons closed idle connections of callers after a time that they never told, as gateways did before, so that a request could cross the close and get no answer.

A copied header of a service no longer removes what the daemon itself has set in the response.

TestResponsesAnnounceTheIdleTimeout of internal/daemon failed before (no header).

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrywell/bilberrywell/config"
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/core"
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 )
 
 const (
@@ -40,7 +41,10 @@
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, notRunError(http.StatusNotFound, "unknown_path", "no such path"))
 	})
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		httputil.AnnounceIdle(w.Header(), r, d.settings.IdleTimeout)
+		router.ServeHTTP(w, r)
+	})
 }
 
 // chatRequest is the part of a chat request that the router reads.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -306,7 +306,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: d.settings.HeaderTimeout,
-		IdleTimeout:       d.settings.IdleTimeout,
+		IdleTimeout:       d.settings.IdleTimeout + httputil.IdleSlack,
 		MaxHeaderBytes:    d.settings.MaxHeaderBytes,
 	}
 }
--- a/internal/daemon/plain.go
+++ b/internal/daemon/plain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -207,8 +208,7 @@
 
 // copyHeader copies a header without its hop-by-hop fields.
 func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-	httputil.RemoveHopByHop(to)
+	copied := from.Clone()
+	httputil.RemoveHopByHop(copied)
+	maps.Copy(to, copied)
 }
--- a/internal/daemon/unanswered_test.go
+++ b/internal/daemon/unanswered_test.go
@@ -37,3 +37,27 @@
 		require.NotEqual(t, http.StatusOK, res.StatusCode)
 	}
 }
+
+// Guards against callers that don't know for how long a connection stays open, whose requests cross its close and get no
+// answer.
+func TestResponsesAnnounceTheIdleTimeout(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Instances: 1, ServiceHandler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Keep-Alive", "timeout=1")
+	})})
+	for _, path := range []string{"/v1/services/orders/x", "/none"} {
+		for _, closes := range []bool{false, true} {
+			r, err := http.NewRequest("GET", "http://"+f.Nodes[0].Settings.CallerAddr+path, nil)
+			require.NoError(t, err)
+			r.Header.Set("Authorization", "Bearer "+fleettest.APIKey)
+			r.Close = closes
+			res, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, res.Body.Close())
+			want := []string{fmt.Sprintf("timeout=%d", f.Nodes[0].Settings.IdleTimeout/time.Second)}
+			if closes {
+				want = nil
+			}
+			require.Equal(t, want, res.Header.Values("Keep-Alive"), path)
+		}
+	}
+}
