internal/router: a difference from a peer that has gone is forgotten

Found by reading again. Cause: the tick requests a repair of the peer whose copy differed, also when its link has closed meanwhile, and until a peer that is more current is heard of. Change: the difference is forgotten with the link.

TestDifferenceIsRepairedFromAPeerThatIsThere failed before (request to the peer that has gone).

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// Read implements net.Conn. Bytes of a request that have arrived when a timeout is noticed are read: on a machine that
-// stood still both are found at the same time, and closing the connection would lose the request.
+// Read implements net.Conn. Bytes of a request that have arrived when a timeout is noticed are read: after a suspension
+// of the process both are found at the same time, and closing the connection would lose the request.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.receive(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.prolong() {
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// Guards against a request without an answer that arrives while the machine stands still: when it goes on, the idle timeout
-// of the connection has passed too.
+// Guards against a request without an answer that arrives while the process is suspended: when it goes on, the idle timeout of
+// the connection has passed too.
 func TestRequestThatArrivedBeforeTheIdleTimeoutIsRead(t *testing.T) {
 	p := newConnPair(t)
 	p.send(t, "GET / HTTP/1.1\r\n\r\n")
@@ -88,7 +88,7 @@
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing has arrived")
 }
 
-// Guards against a request of which a part was read before the machine stood still for longer than the header timeout, and
+// Guards against a request of which a part was read before the process was suspended for longer than the header timeout, and
 // against a caller that sends a byte now and then and so keeps its connection.
 func TestRestOfAHeaderThatArrivedBeforeItsTimeoutIsRead(t *testing.T) {
 	p := newConnPair(t)
--- a/internal/router/currency.go
+++ b/internal/router/currency.go
@@ -50,10 +50,10 @@
 	// since is when it was first seen.
 	since time.Duration
 	// peer is the one with the most current copy that differs, or empty without a difference. The copy was current as of
-	// at and had the digest.
-	peer   fleet.InstanceID
-	at     time.Duration
-	digest uint64
+	// at and had the digest. Its newest revision was newest, or 0 if the peer did not say.
+	peer           fleet.InstanceID
+	at             time.Duration
+	digest, newest uint64
 }
 
 // compareFacts compares this instance's copy with that of a peer, which was current as of peerCurrentAt and
@@ -72,7 +72,7 @@
 		*d = difference{since: r.now, at: never}
 	}
 	if peerCurrentAt >= d.at {
-		d.peer, d.at, d.digest = from, peerCurrentAt, digest
+		d.peer, d.at, d.digest, d.newest = from, peerCurrentAt, digest, newest
 	}
 	r.repair()
 }
@@ -85,6 +85,13 @@
 	}
 }
 
+// differingPeerDown forgets a difference from a peer that has gone. The next peer that differs is compared anew.
+func (r *Router) differingPeerDown(peer fleet.InstanceID) {
+	if r.relays.difference.peer == peer {
+		r.relays.difference = difference{at: never}
+	}
+}
+
 // tickCurrency repairs a difference that has lasted, or ends it if the facts have arrived meanwhile.
 func (r *Router) tickCurrency() {
 	d := r.relays.difference
@@ -115,7 +122,7 @@
 		return
 	}
 	r.relays.nextRepair, r.relays.repairedFrom = r.now+repairInterval, d.peer
-	r.emit(Decision{Kind: "repair_asked", Fields: []any{"peer", d.peer,
+	r.emit(Decision{Kind: "repair_asked", Fields: []any{"peer", d.peer, "newest", replica.FormatRevision(d.newest),
 		"own", replica.FormatRevision(r.replica.NewestRevision()), "lagging_ms", (r.now - d.since).Milliseconds()}})
 	r.emit(SendMessage{To: d.peer, Message: &wire.FactsRequest{Buckets: r.replica.BucketDigests()}})
 }
--- a/internal/router/currency_test.go
+++ b/internal/router/currency_test.go
@@ -136,3 +136,17 @@
 	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StoreFacts{Facts: []wire.StoreFact{{Key: "config", Revision: 300, ValueOmitted: true}}}})
 	require.Len(t, s.tick(0), 1)
 }
+
+// Guards against repairs that are requested of a peer that has gone, while another one has the facts.
+func TestDifferenceIsRepairedFromAPeerThatIsThere(t *testing.T) {
+	s := newSession(t, 3)
+	s.link(3)
+	s.advance(time.Second)
+	s.readAnnounced(s.r.replica.Digest())
+	s.readAnnounced(1)
+	s.step(PeerDown{Instance: "i2", Incarnation: 1})
+	s.step(PeerMessage{From: "i3", Incarnation: 1, Message: &wire.StoreRead{AgeMs: 100, FactsDigest: 1}})
+	asked := s.tick(repairDelay)
+	require.Len(t, asked, 1)
+	require.Equal(t, fleet.InstanceID("i3"), asked[0].To)
+}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -113,6 +113,7 @@
 	}
 	delete(r.members.linked, ev.Instance)
 	r.emit(Decision{Kind: "peer_down", Fields: []any{"peer", ev.Instance}})
+	r.differingPeerDown(ev.Instance)
 	r.rebuildGrid()
 	r.warmUps.viewStale = true
 	r.electWatchers()
