upstream: a response whose status is no final HTTP status is not an answer

Reported from another system: an engine in trouble sent an answer with status 000, and the client got it as an answer.

What callers saw here: with 600 or 999 the status and the body of the engine, after a retry too; with a signed 000, 099 or +20 a closed connection without an answer, also on routes on which the request may be repeated, because net/http panics in WriteHeader below 100 and the goroutine of the request ends with it. Its attempt was then never reported to the router.

Cause: http.ReadResponse accepts any three characters that are a number, and statuses were only compared with 300 and 500 afterwards.

Change: an exchange ends as broken if the response of its request has a status outside 200 to 599, so that the request is repeated where it may be, and is answered 502 where it has perhaps run. A promise that it has not run does not count on such a response. 101, which was skipped like other interim responses, breaks the exchange too: no upgrade is requested, and what follows is not HTTP. A response to another request is skipped as before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 )
 
 const (
@@ -35,6 +37,8 @@
 	ErrUnsent = errors.New("upstream: request was not sent")
 	// ErrBroken reports that the exchange failed after bytes of the request may have left the process.
 	ErrBroken = errors.New("upstream: exchange broke off")
+
+	errStatus = errors.New("the status of the response is not a final HTTP status")
 )
 
 // Request is a request to an engine, with the body in memory.
@@ -169,14 +173,19 @@
 		if err != nil {
 			return err
 		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 {
+		if httputil.IsInterimStatus(res.StatusCode) {
 			if interim++; interim > maxInterimResponses {
 				return errors.New("too many interim responses before the final one")
 			}
 			continue
 		}
+		if res.StatusCode == http.StatusSwitchingProtocols {
+			return errStatus
+		}
 		owner := ownerOf(res)
 		switch {
+		case owner != OtherRequest && !httputil.IsFinalStatus(res.StatusCode):
+			return errStatus
 		case owner == ThisRequest, owner == UnnamedRequest && !x.conn.reused:
 			x.Response = res
 			return nil
