daemon: a response whose status is no final HTTP status is not an answer

With 000, 099 or +20 the connection closed without an answer; with 600 or 999 the caller got the engine's status and body; with an unrequested 101 the connection closed too. The panic also kept the request open in the reducer: the shutdown of the daemon waited for it until its deadline (60 s in the test).

Cause: the daemon forwards the status that net/http has read, which is any three characters that are a number.

Change: runExchange, through which services and chats go, ends the attempt as broken before any part of the response is used, with the check of the gateway. An order counts as unknown and is not recorded with that status.

TestStatusThatIsNoHTTPStatus of internal/daemon failed before for 000, 099, +20, 600, 999 and 101.

--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -13,6 +13,7 @@
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/core"
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/wire"
 )
 
@@ -162,6 +163,9 @@
 	}
 	defer res.Body.Close()
 	stop()
+	if !httputil.IsFinalStatus(res.StatusCode) {
+		return wire.ResultBroken
+	}
 	x.progress()
 	return receive(res, x)
 }
