upstream: the response to a HEAD request ends with its head

What callers saw: the answer to a HEAD request with a long body counted as broken if the engine reset the connection before it had read that body.

Cause: a response without a length or chunks was taken to end with the connection, also one that can have no body, so that the error of the write was counted against a response that was whole.

Change: EndsWithConnection is false for a response without a body, and the connection is kept after it.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -232,10 +232,10 @@
 	return x.writeErr != nil && !errors.Is(x.writeErr, os.ErrDeadlineExceeded) && !errors.Is(x.writeErr, syscall.EPIPE)
 }
 
-// EndsWithConnection reports whether the response has neither a length nor chunks, so that the end of the
-// connection ends it.
+// EndsWithConnection reports whether the response has a body with neither a length nor chunks, so that the end of the
+// connection ends it. The response to a HEAD request ends with its head.
 func (x *Exchange) EndsWithConnection() bool {
-	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+	return x.Response.Body != http.NoBody && x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
 }
 
 // SetReadTimeout bounds the time until the rest of the response has been read.
