daemon: a response that comes before a long request is written is not lost

What callers saw: an engine that answered before it had read a long request, and then reset the connection, was taken for one that broke off, although its response was whole (with a length, in chunks, or ended by closing its side). The caller got a 502 in place of the answer.

Cause: net/http closes a connection as soon as a write fails, with what was received on it. The next read would have returned the response.

Change: a write of an engine's connection that meets a reset returns once reads have met it too, or the connection is closed. Reads decide what the response is, as in the gateway.

--- a/internal/daemon/engineconn.go
+++ b/internal/daemon/engineconn.go
@@ -18,10 +18,25 @@
 	// mu is held while a write runs. writeErr is the error of the last write.
 	mu       sync.Mutex
 	writeErr error
+	endOnce  sync.Once
+	ended    chan struct{}
 }
 
-// Write implements net.Conn.
+func newEngineConn(conn net.Conn) *engineConn {
+	return &engineConn{Conn: conn, ended: make(chan struct{})}
+}
+
+// Write implements net.Conn. net/http closes a connection at the first failed write and loses a response that has
+// arrived before. So a write that meets a reset returns once reads have met it too, or the connection is closed.
 func (c *engineConn) Write(b []byte) (int, error) {
+	n, err := c.write(b)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		<-c.ended
+	}
+	return n, err
+}
+
+func (c *engineConn) write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(b)
@@ -29,9 +44,21 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *engineConn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+func (c *engineConn) end() { c.endOnce.Do(func() { close(c.ended) }) }
+
 // Read implements net.Conn. At the end of the connection it ends a running write to learn its error.
 func (c *engineConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err == nil {
+		return n, nil
+	}
+	defer c.end()
 	if err != io.EOF {
 		return n, err
 	}
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &engineConn{Conn: conn}, nil
+	return newEngineConn(conn), nil
 }
 
 func newTransport() *http.Transport {
