daemon: a response of the control interface that broke off is not a success

Found while looking for readers that take a part of a response as whole.

What was seen: an order, and the import of a chat's cache, counted as carried out with a 200 whose body broke off, also when the engine answered an import at once, sent a part and reset the connection while the cache was still being written. A probe counted with a body shorter than its length, if the part was JSON. Effect: the counter of moved chats, and the error of an order, which the reducer does not use; no caller was concerned.

Cause: the body of orders and imports was not read, or the error of the read ignored, and the JSON decoder stopped before the end of the body.

Change: all three read the response to its end. Statuses that are no HTTP status were failures already; the tests now show it.

TestControlResponsesThatAreNoAnswer (4 of 9 cases) and TestImportThatIsResetWhileItIsWritten failed before.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -164,14 +164,23 @@
 		return err
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxControlBytes))
+	err = readToEnd(res.Body)
 	switch {
 	case res.StatusCode == http.StatusConflict:
 		return errStaleFence
 	case res.StatusCode != http.StatusOK:
 		return fmt.Errorf("daemon: order to engine %s failed: %s", o.Target.Engine, res.Status)
 	}
-	return nil
+	return err
+}
+
+// readToEnd reads a response whose content is not used. Without its end the response may have broken off.
+func readToEnd(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxControlBytes))
+	if err == nil && n == maxControlBytes {
+		return errors.New("daemon: the response of an engine's control interface exceeds 1 MiB")
+	}
+	return err
 }
 
 // moveChatCache exports a chat's KV cache from one engine and imports it into another.
@@ -199,7 +208,7 @@
 	if imported.StatusCode != http.StatusOK {
 		return fmt.Errorf("daemon: KV cache import into engine %s failed: %s", m.To.Engine, imported.Status)
 	}
-	return nil
+	return readToEnd(imported.Body)
 }
 
 func (e *engineClient) getJSON(ctx context.Context, t core.Target, path string, value any) error {
@@ -213,7 +222,11 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("daemon: engine %s answered %s", t.Engine, res.Status)
 	}
-	return json.NewDecoder(io.LimitReader(res.Body, maxControlBytes)).Decode(value)
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxControlBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, value)
 }
 
 func (e *engineClient) do(ctx context.Context, method string, t core.Target, path string, body []byte) (*http.Response, error) {
