daemon: a cache above the limit is not imported in part

Found while looking for readers that take a part of a response as whole.

Cause: the export of a chat's cache was read up to 64 MiB without an error, and that part was imported at the other engine, which has no means to notice.

Change: an export above the limit fails the move.

TestCacheAboveTheLimitIsNotImported failed before.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -196,10 +196,13 @@
 	if exported.StatusCode != http.StatusOK {
 		return fmt.Errorf("daemon: KV cache export from engine %s failed: %s", m.From.Engine, exported.Status)
 	}
-	blob, err := io.ReadAll(io.LimitReader(exported.Body, maxCacheBytes))
+	blob, err := io.ReadAll(io.LimitReader(exported.Body, maxCacheBytes+1))
 	if err != nil {
 		return err
 	}
+	if len(blob) > maxCacheBytes {
+		return fmt.Errorf("daemon: KV cache export from engine %s exceeds 64 MiB", m.From.Engine)
+	}
 	imported, err := e.do(ctx, http.MethodPost, m.To, "/cache/import", blob)
 	if err != nil {
 		return err
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -98,3 +99,19 @@
 		require.Error(t, newTestEngineClient(t).moveChatCache(t.Context(), core.MoveChat{From: from, To: target}))
 	}
 }
+
+// Guards against a cache above the limit of which a part is imported as if it were whole.
+func TestCacheAboveTheLimitIsNotImported(t *testing.T) {
+	var imported atomic.Int64
+	to := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		imported.Add(n)
+	}))
+	defer to.Close()
+	target := core.Target{Engine: "to", Addr: to.Listener.Addr().String()}
+	client := newTestEngineClient(t)
+	require.NoError(t, client.moveChatCache(t.Context(), core.MoveChat{From: startExporter(t, maxCacheBytes), To: target}))
+	require.EqualValues(t, maxCacheBytes, imported.Load())
+	require.Error(t, client.moveChatCache(t.Context(), core.MoveChat{From: startExporter(t, maxCacheBytes+1), To: target}))
+	require.EqualValues(t, maxCacheBytes, imported.Load())
+}
