router, gateway: a silent attempt goes on until its replacement has begun

Callers saw: a stream that had begun was closed without its end, seconds before its time limit, although its engine was sound and only silent for a moment. Requests of which nothing was delivered got a 502 or 503.

Cause: a request had one attempt at a time. The silent one was ended as soon as another engine had been chosen; if that engine rejected the request, could not go on with the stream or broke off, and no other attempt was allowed, the request was given up.

Change: the next attempt is sent beside the silent one. Under one lock, the silent engine's next event or the other engine's header decides which of the two forwards; the other one ends at once (superseded, stalled). A failure beside a silent attempt ends only itself. Attempts under way count against max_attempts and the tries, each one that reaches an engine in the retry budget. If both are silent and a third engine can take the request, the older one ends.

Tests: on the code before, TestSilentStreamIsNotCutWhenItsReplacementIsRejected failed in six of seven cases (in the seventh the replacement has begun, and the stream ends with it) and TestSilentRequestIsAnsweredWhenItsReplacementIsRejected in both. Tests that had the attempt end in the step in which its replacement was chosen now require that it does not end then and that the replacement is sent at once; TestEachRequestEndsOnce plays two attempts of a request and checks that no engine stays counted. The engine stand-in's work time now delays streams too.

--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -57,7 +57,8 @@
 	lastRead time.Duration
 	lastCall router.CallID
 	calls    map[router.CallID]*request
-	attempts map[router.CallID]*attempt
+	// attempts holds the attempts under way of each request, the older one first.
+	attempts map[router.CallID][]*attempt
 }
 
 // run plays a pattern with a setting, until every request has a result.
@@ -118,7 +119,7 @@
 	s.change(&cfg)
 	cfg.Instance, cfg.Incarnation, cfg.DataCentre, cfg.StoreDecoder = sim.ids[i], 1, dataCentre, decoder{sim.pattern}
 	cfg.Seed = fleet.Hash("instance", fmt.Sprint(seed), fmt.Sprint(i))
-	in := &instance{sim: sim, id: cfg.Instance, router: router.New(cfg), calls: make(map[router.CallID]*request), attempts: make(map[router.CallID]*attempt)}
+	in := &instance{sim: sim, id: cfg.Instance, router: router.New(cfg), calls: make(map[router.CallID]*request), attempts: make(map[router.CallID][]*attempt)}
 	sim.instances[in.id] = in
 	in.listKeys()
 	for _, peer := range sim.ids {
@@ -167,7 +168,7 @@
 		case router.Send:
 			in.startAttempt(e)
 		case router.EndStalledAttempt:
-			in.endStalled(e.Call)
+			in.endStalled(e)
 		case router.DeliverFailure:
 			in.finish(e.Call, failed)
 		case router.Refuse:
--- a/internal/gateway/attemptstate.go
+++ b/internal/gateway/attemptstate.go
@@ -36,6 +36,9 @@
 	return s.value.CompareAndSwap(0, uint32(as)) || as == router.Stalled && s.value.CompareAndSwap(responseBegun, uint32(as))
 }
 
+// fixed reports whether the caller has a part of a response that no other engine can complete.
+func (s *attemptState) fixed() bool { return s.value.Load() == responseFixed }
+
 // endedAs returns the outcome with which the router ended the attempt, and false if it did not.
 func (s *attemptState) endedAs() (router.Outcome, bool) {
 	value := s.value.Load()
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,16 +38,26 @@
 	// heldBody is the number of bytes that count in the instance's bodyMemory.
 	heldBody int64
 
+	// opened passes the attempt beside a silent one, once it has taken its place, to the request's goroutine.
+	opened chan *attempt
+
+	// turn guards the fields up to the next blank line, and decides which of two attempts forwards its response.
+	turn sync.Mutex
+	// current is the attempt whose response is forwarded, beside the one that may take its place; both may be nil.
+	current, beside *attempt
+	// settled is set once no other attempt may respond.
+	settled bool
 	// usedConns are the connections to engines that have carried the request.
 	usedConns []*upstream.Conn
-	// headerWritten reports whether the header of an engine's response was written to the caller.
-	headerWritten atomic.Bool
-	// heldFailure is an engine's failure response that is held back while another attempt may follow.
-	heldFailure *heldResponse
 	// lastEvent is the id of the last event that was forwarded, or that the caller named.
 	lastEvent string
 	// endsWithoutID reports whether the last event that was forwarded has no id.
 	endsWithoutID bool
+
+	// headerWritten reports whether the header of an engine's response was written to the caller.
+	headerWritten atomic.Bool
+	// heldFailure is an engine's failure response that is held back while another attempt may follow.
+	heldFailure *heldResponse
 	// eventDue reports whether the stream broke off inside an event, so that it is incomplete without another.
 	eventDue bool
 }
@@ -61,7 +73,8 @@
 	c.lastEvent = c.callHead.LastEvent
 	c.target = requestTarget(r)
 	// The request counts from here on, so that a planned stop waits for its body too.
-	id, commands := g.calls.add()
+	c.opened = make(chan *attempt)
+	id, commands := g.calls.add(c)
 	defer g.calls.remove(id)
 	defer c.releaseBody()
 	c.id = id
@@ -102,6 +115,8 @@
 			if c.execute(command) {
 				return
 			}
+		case a := <-c.opened:
+			c.g.step(a.forwardOpened())
 		case <-disconnected:
 			disconnected = nil
 			c.g.step(router.CallerDisconnected{Call: c.id})
@@ -307,6 +322,20 @@
 	_, _ = c.w.Write(data)
 }
 
+// connsBefore returns the connections to engines that have carried the request.
+func (c *callerRequest) connsBefore() []*upstream.Conn {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	return slices.Clone(c.usedConns)
+}
+
+// useConn records a connection that carries the request.
+func (c *callerRequest) useConn(conn *upstream.Conn) {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	c.usedConns = append(c.usedConns, conn)
+}
+
 // callContext returns a context that ends at until, the request's deadline, or when its caller
 // disconnects.
 func (c *callerRequest) callContext(until time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -10,44 +10,33 @@
 // the next command only after the request has reported the result of the last one.
 const commandQueueSize = 1
 
-// callTable holds the command queue of each open request.
+// callTable holds the open requests.
 type callTable struct {
 	mu     sync.Mutex
 	lastID router.CallID
-	open   map[router.CallID]chan router.Command
-	// attempts holds the function that ends the running attempt of a request with an outcome.
-	attempts map[router.CallID]func(router.Outcome)
+	open   map[router.CallID]openCall
 	// reading holds the function that ends the reading of a request's body, and refusal what becomes of such
 	// requests, or nil.
 	reading map[router.CallID]func()
 	refusal *router.RefuseUnreadCalls
 }
 
+// openCall is a request and the queue of its commands.
+type openCall struct {
+	request  *callerRequest
+	commands chan router.Command
+}
+
 func (t *callTable) init() {
-	t.open = make(map[router.CallID]chan router.Command)
-	t.attempts = make(map[router.CallID]func(router.Outcome))
+	t.open = make(map[router.CallID]openCall)
 	t.reading = make(map[router.CallID]func())
 }
 
-// setAttempt sets the function that endAttempt calls for a request; nil removes it.
-func (t *callTable) setAttempt(id router.CallID, end func(router.Outcome)) {
+// get returns an open request, or nil if it has ended.
+func (t *callTable) get(id router.CallID) *callerRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if end == nil {
-		delete(t.attempts, id)
-		return
-	}
-	t.attempts[id] = end
-}
-
-// endAttempt ends the running attempt of a request with an outcome.
-func (t *callTable) endAttempt(id router.CallID, as router.Outcome) {
-	t.mu.Lock()
-	end := t.attempts[id]
-	t.mu.Unlock()
-	if end != nil {
-		end(as)
-	}
+	return t.open[id].request
 }
 
 // startReading sets the function that ends the reading of a request's body. It is called at once if requests that are
@@ -86,12 +75,12 @@
 }
 
 // add registers a new request and returns its id and its command queue.
-func (t *callTable) add() (router.CallID, <-chan router.Command) {
+func (t *callTable) add(c *callerRequest) (router.CallID, <-chan router.Command) {
 	commands := make(chan router.Command, commandQueueSize)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastID++
-	t.open[t.lastID] = commands
+	t.open[t.lastID] = openCall{c, commands}
 	return t.lastID, commands
 }
 
@@ -106,7 +95,7 @@
 // dispatch queues a command for its request. It drops the command if the request has ended.
 func (t *callTable) dispatch(c router.Command) {
 	t.mu.Lock()
-	commands := t.open[c.Target()]
+	commands := t.open[c.Target()].commands
 	t.mu.Unlock()
 	if commands != nil {
 		commands <- c
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,11 +165,15 @@
 func (g *Gateway) execute(effect router.Effect) {
 	switch e := effect.(type) {
 	case router.Command:
-		g.calls.dispatch(e)
+		g.executeCommand(e)
 	case router.EndStalledAttempt:
-		g.calls.endAttempt(e.Call, router.Stalled)
+		if c := g.calls.get(e.Call); c != nil {
+			c.endStalled(e)
+		}
 	case router.EndUnansweredAttempt:
-		g.calls.endAttempt(e.Call, router.Interrupted)
+		if c := g.calls.get(e.Call); c != nil {
+			c.interrupt()
+		}
 	case router.RefuseUnreadCalls:
 		g.calls.refuseUnread(e)
 	case router.Decision:
@@ -216,6 +220,17 @@
 	}
 }
 
+// executeCommand passes a command to its request. An attempt beside another one has a goroutine of its own.
+func (g *Gateway) executeCommand(command router.Command) {
+	if send, ok := command.(router.Send); ok && send.Beside {
+		if c := g.calls.get(send.Call); c != nil {
+			c.startBeside(send)
+		}
+		return
+	}
+	g.calls.dispatch(command)
+}
+
 // checkEngine checks whether an engine accepts a connection. A connection that opens is kept for use.
 func (g *Gateway) checkEngine(e router.CheckEngine) {
 	conn, err := g.engineConns.Open(g.ctx, e.Addr)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/bilberrywell/bilberrywell/internal/router"
 )
 
 // stallWatch calls a function whenever nothing has happened for a timeout.
@@ -47,3 +49,10 @@
 		w.timer.Reset(w.timeout)
 	}
 }
+
+// watchForStalls reports when the engine exceeds the header or gap timeout.
+func (a *attempt) watchForStalls() {
+	a.stallWatch = newStallWatch(a.cmd.HeaderTimeout, func() {
+		a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,7 +98,12 @@
 
 // finishStream ends a stream that the engine has ended completely.
 func (a *attempt) finishStream() {
-	if !a.headerWritten.Load() && !a.beginResponse(responseFixed, -1) {
+	if a.headerWritten.Load() {
+		if !a.delivers() {
+			a.fail(router.Broken, errEnded)
+			return
+		}
+	} else if !a.beginResponse(responseFixed, -1) {
 		return
 	}
 	// net/http writes the end of the response, possibly long after the last event.
@@ -109,24 +114,16 @@
 
 // forwardEvents forwards complete events. It returns false if the attempt has ended.
 func (a *attempt) forwardEvents(events []byte) bool {
-	lastEvent, endsWithoutID := a.lastEvent, a.endsWithoutID
-	if a.cmd.Route.Resumable {
-		events = a.skipDelivered(events)
+	events, ended := a.takeEvents(events)
+	if ended {
+		a.fail(router.Broken, errEnded)
+		return false
 	}
 	if len(events) == 0 {
 		return true
 	}
-	state := responseBegun
-	if a.endsWithoutID {
-		// No other engine can go on with the stream, so that the engine may take its time.
-		state = responseFixed
-		a.stallWatch.reset(0)
-	}
-	if a.headerWritten.Load() {
-		a.state.begin(state)
-	} else if !a.beginResponse(state, -1) {
-		a.lastEvent, a.endsWithoutID = lastEvent, endsWithoutID
-		return false
+	if !a.headerWritten.Load() {
+		a.writeHead(a.exchange.Response.StatusCode, a.exchange.Response.Header, -1)
 	}
 	if !a.forwardPart(events) {
 		return false
@@ -139,6 +136,30 @@
 	return true
 }
 
+// takeEvents returns the events that the caller does not have yet, and whether the attempt was ended.
+func (a *attempt) takeEvents(events []byte) (rest []byte, ended bool) {
+	a.turn.Lock()
+	defer a.turn.Unlock()
+	lastEvent, endsWithoutID := a.lastEvent, a.endsWithoutID
+	if a.cmd.Route.Resumable {
+		events = a.skipDelivered(events)
+	}
+	if len(events) == 0 {
+		return nil, false
+	}
+	state := responseBegun
+	if a.endsWithoutID {
+		// No other engine can go on with the stream, so that the engine may take its time.
+		state = responseFixed
+		a.stallWatch.reset(0)
+	}
+	if !a.goesOn(state) {
+		a.lastEvent, a.endsWithoutID = lastEvent, endsWithoutID
+		return nil, true
+	}
+	return events, false
+}
+
 // skipDelivered removes events that the caller already has and records the id of the last event that
 // remains, or that it has none.
 func (a *attempt) skipDelivered(events []byte) []byte {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -41,6 +41,27 @@
 	if c == nil {
 		return
 	}
+	if c.beside != nil && ev.Engine == c.beside.engine {
+		older := c.attempt
+		c.attempt, c.beside = *c.beside, &older
+	}
+	r.recordEnd(c, ev)
+	// The turn is given when the request itself has been decided.
+	defer r.attemptLeft(c.service, c.customer, c.engine, c.counted, ev.Outcome)
+	other := c.beside != nil
+	if other {
+		c.attempt, c.beside = *c.beside, nil
+	}
+	switch {
+	case c.released:
+		delete(r.calls, c.ID)
+	case !other, ev.Outcome == Completed, ev.Outcome == CallerLeft:
+		r.followAttempt(c, ev)
+	}
+}
+
+// recordEnd records the outcome of an attempt.
+func (r *Router) recordEnd(c *call, ev AttemptEnded) {
 	c.running = false
 	c.partDelivered = c.partDelivered || ev.Delivered
 	c.endsWithoutID = ev.EndsWithoutID
@@ -54,16 +75,20 @@
 	r.recordOutcome(c, ev)
 	r.recordAlike(c, ev)
 	c.lastFailedAlike = failsAlike(ev)
-	r.emit(AttemptDone{Kind: c.route.Kind, Outcome: ev.Outcome, Reason: c.choiceReason, Try: len(c.triedEngines) + 1, FirstByte: ev.FirstByte,
+	r.emit(AttemptDone{Kind: c.route.Kind, Outcome: ev.Outcome, Reason: c.choiceReason, Try: c.try, FirstByte: ev.FirstByte,
 		Waited: c.sentAt - c.Arrived, CacheFetch: c.cacheFetch})
 	r.logDecision(c, "attempt_ended", "engine", c.engine, "outcome", ev.Outcome.String(), "detail", ev.Detail,
 		"ms", (r.now - c.sentAt).Milliseconds(), "first_byte_ms", ev.FirstByte.Milliseconds(), "delivered", c.partDelivered, "failed", ev.Failed)
 	c.triedEngines = append(c.triedEngines, c.engine)
 	r.recordRejection(c, ev.Outcome)
-	// The turn is given when the request itself has been decided.
-	defer r.attemptLeft(c.service, c.customer, c.engine, c.wait.counted, ev.Outcome)
-	replacement := c.replacement
-	c.replacement = nil
+	if ev.Outcome == Errored && !ev.Discarded {
+		c.heldFrom = c.engine
+	}
+}
+
+// followAttempt ends a request or sends it again after its only attempt has ended.
+func (r *Router) followAttempt(c *call, ev AttemptEnded) {
+	lost := func() { r.refuse(c, MayHaveRun, "engine_lost", 0) }
 	switch ev.Outcome {
 	case Completed, CallerLeft:
 		r.release(c, ev.Outcome)
@@ -72,13 +97,13 @@
 	case Unsent, Rejected, Misdirected:
 		r.retryOr(c, func() { r.giveUp(c, ev.Outcome.String()) })
 	case Errored:
-		c.heldFrom = c.engine
-		r.retryOr(c, func() { r.deliver(c) })
-	case Broken, Stalled:
-		if ev.Outcome == Stalled && replacement != nil && r.sendReplacement(c, *replacement) {
+		if ev.Discarded {
+			r.retryOr(c, lost)
 			return
 		}
-		r.retryOr(c, func() { r.refuse(c, MayHaveRun, "engine_lost", 0) })
+		r.retryOr(c, func() { r.deliver(c) })
+	case Broken, Stalled, Superseded:
+		r.retryOr(c, lost)
 	case Interrupted:
 		r.refuse(c, MayHaveRun, "stopping", 0)
 	}
@@ -119,7 +144,7 @@
 
 // canRetry reports whether a request may be sent once more now.
 func (r *Router) canRetry(c *call) bool {
-	if !r.mayRetry(c, 0) {
+	if !r.mayRetry(c) {
 		return false
 	}
 	if _, refused := r.poison.detector.Check(r.now, c.traits()); refused {
@@ -131,9 +156,9 @@
 	return pool != nil && (r.cfg.LoadControl || c.possibleRuns == 0 || c.retryCounted || pool.budget.Remaining(r.now) >= 1)
 }
 
-// mayRetry reports whether the request may be sent once more. pending is the number of attempts under
-// way, which are counted as if they run.
-func (r *Router) mayRetry(c *call, pending int) bool {
+// mayRetry reports whether the request may be sent once more. The attempts under way are counted as if they run.
+func (r *Router) mayRetry(c *call) bool {
+	pending := c.underWay()
 	runs := c.possibleRuns + pending
 	switch {
 	case c.partDelivered && (c.route.Kind != routing.Streaming || c.endsWithoutID):
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
-	"github.com/bilberrywell/bilberrywell/notice"
 	"github.com/bilberrywell/bilberrywell/placement"
 	"github.com/bilberrywell/bilberrywell/routing"
 )
@@ -53,35 +52,22 @@
 	// deadline is when the request must have its final response.
 	deadline time.Duration
 
-	engine fleet.EngineID
-	// engineRun is the engine's process as it was registered when the attempt was sent.
-	engineRun    notice.Run
-	choiceReason placement.Reason
-	sentAt       time.Duration
-	// running reports whether an attempt was sent and has not ended.
-	running bool
-	// pool is the pool that counts the attempt. It may have been replaced since.
-	pool *servicePool
-	// cacheFetch reports whether the engine was asked to fetch the prompt's cache from another one.
-	cacheFetch bool
-	reading    callReading
-	// reported reports whether what the engine says of itself in this attempt's response was recorded. At
-	// the end of a long stream it is out of date.
-	reported bool
+	// attempt is the last attempt, or the older one of two.
+	attempt
+	// beside is the attempt that was sent while the engine of the older one is silent, or nil.
+	beside *attempt
+	// released reports whether the request has ended and only an attempt that was superseded is left.
+	released bool
 	// triedEngines lists the engines of earlier attempts.
 	triedEngines []fleet.EngineID
 	// deniedEngines lists the engines for which the owners of their rate limits did not admit the request,
 	// and asks counts the owners that were asked.
 	deniedEngines []fleet.EngineID
 	asks          int
-	// replacement is the engine for which the running attempt is being ended as stalled, or nil.
-	replacement *placement.Choice
 	// reachedAttempts counts the attempts that reached an engine, possibleRuns those that may have run.
 	reachedAttempts, possibleRuns int
 	// retryCounted is set from the time when the next attempt is counted in the retry budget until it is sent.
 	retryCounted bool
-	// attemptCounted reports whether the last attempt that was sent was counted in the retry budget.
-	attemptCounted bool
 	// lastFailedAlike reports whether the last attempt ended with a failure that other engines may share.
 	lastFailedAlike bool
 	// partDelivered reports whether a part of a response has reached the caller.
@@ -274,71 +260,6 @@
 	return request
 }
 
-func (r *Router) send(c *call, pool *servicePool, choice placement.Choice) {
-	c.engine = choice.Engine.ID
-	registered, _ := r.registry.Get(c.engine)
-	c.engineRun = runOf(registered)
-	c.choiceReason = choice.Reason
-	c.cacheFetch = choice.FetchFrom != ""
-	c.sentAt, c.pool = r.now, pool
-	c.reported, c.running = false, true
-	c.attemptCounted, c.retryCounted = c.retryCounted, false
-	r.countStarted(c, pool)
-	pool.engines.Started(c.engine)
-	pool.engines.TakeToken(r.now, c.engine)
-	r.readingStarted(c, pool, choice)
-	header, gap := r.stallTimeouts(c, pool)
-	r.emit(Send{
-		HeaderTimeout: header,
-		GapTimeout:    gap,
-		Call:          c.ID,
-		Engine:        choice.Engine,
-		Route:         c.route,
-		Customer:      c.customer,
-		Urgency:       r.engineUrgency(c),
-		FetchFrom:     choice.FetchFrom,
-		IdleShare:     r.idleShare(c.service),
-		Deadline:      c.deadline,
-		HoldFailure:   r.mayRetry(c, 1),
-		Resume:        c.partDelivered,
-
-		ReportFirstEvent: c.reportsFirstEvent(),
-	})
-	fields := []any{"engine", c.engine, "reason", choice.Reason.String(), "load", choice.Load,
-		"mean", choice.Mean, "try", len(c.triedEngines) + 1, "config", r.table.Version, "fetch", choice.FetchFrom}
-	r.logDecision(c, "attempt_sent", append(fields, c.reading.logFields()...)...)
-}
-
-const (
-	// stallFactor is the multiple of a route's mean latency after which a response counts as lost.
-	// Processing times vary by about half of their mean.
-	stallFactor = 3
-	// minStallFraction and maxStallFraction bound the wait as fractions of the route's target latency:
-	// another attempt that begins later would rarely meet the target.
-	minStallFraction = 0.3
-	maxStallFraction = 0.6
-	// gapFraction is the fraction of the route's target gap between events after which a silent stream
-	// is resumed at another engine.
-	gapFraction = 0.75
-	// stallMinBudget is the number of attempts that must be left in the retry budget for stall timeouts
-	// to apply: an engine that exceeds them may only be slow.
-	stallMinBudget = 3
-)
-
-// stallTimeouts returns how long an attempt waits for the header of the response and between events.
-// Both are zero if no other attempt may follow, the route's latency or its target is unknown, or the
-// retry budget is low.
-func (r *Router) stallTimeouts(c *call, pool *servicePool) (header, gap time.Duration) {
-	meanLatency := r.statsOf(c.route.Name).meanLatency
-	target := float64(c.route.TargetLatency)
-	if !c.route.Repeatable() || !r.mayRetry(c, 1) || pool.engines.Len() < 2 || meanLatency == 0 || target == 0 ||
-		pool.budget.Remaining(r.now) < stallMinBudget || !r.retryAllowed(c, pool) {
-		return 0, 0
-	}
-	header = time.Duration(min(max(stallFactor*float64(meanLatency), minStallFraction*target), maxStallFraction*target))
-	return header, time.Duration(gapFraction * float64(c.route.TargetGap))
-}
-
 // giveUp refuses a request for which no further attempt is possible.
 func (r *Router) giveUp(c *call, code string) { r.giveUpFor(c, code, noEngineRetryAfter) }
 
@@ -383,8 +304,10 @@
 	}
 	r.emit(ended)
 	r.unqueue(c)
-	delete(r.calls, c.ID)
 	delete(r.delayed.pending, c.ID)
+	if c.released = true; !c.running {
+		delete(r.calls, c.ID)
+	}
 }
 
 // callerDisconnected ends a request whose caller disconnected while no attempt was running. An attempt that was sent at
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -43,14 +43,21 @@
 	// stream after which AttemptStalled is reported; 0 waits until Deadline.
 	HeaderTimeout time.Duration
 	GapTimeout    time.Duration
+	// Beside requests that the running attempt, whose engine is silent, goes on until this one has begun to respond.
+	// If the silent engine goes on first, this attempt ends as Superseded.
+	Beside bool
 	// ReportFirstEvent requests a FirstEventReceived.
 	ReportFirstEvent bool
 }
 
-// EndStalledAttempt ends the running attempt of a request as Stalled, because another engine can take it.
-type EndStalledAttempt struct{ Call CallID }
+// EndStalledAttempt ends the older one of two silent attempts of a request as Stalled, because a third engine can take
+// it, unless the other one has begun to respond.
+type EndStalledAttempt struct {
+	Call   CallID
+	Engine fleet.EngineID
+}
 
-// EndUnansweredAttempt ends the running attempt of a request as Interrupted, unless a part of its response has reached
+// EndUnansweredAttempt ends the attempts of a request as Interrupted, unless a part of its response has reached
 // the caller.
 type EndUnansweredAttempt struct{ Call CallID }
 
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -96,11 +96,13 @@
 	CallerLeft
 	// Interrupted: the instance is about to stop.
 	Interrupted
+	// Superseded: the engine of the attempt beside which this one was sent has gone on.
+	Superseded
 )
 
 // String returns the outcome's name as used in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"none", "completed", "unsent", "rejected", "misdirected", "errored", "broken", "stalled", "timed_out", "caller_left", "interrupted"}[o]
+	return [...]string{"none", "completed", "unsent", "rejected", "misdirected", "errored", "broken", "stalled", "timed_out", "caller_left", "interrupted", "superseded"}[o]
 }
 
 // AttemptStalled reports that the engine of an attempt has exceeded the header or gap timeout.
@@ -113,7 +115,9 @@
 
 // AttemptEnded reports how an attempt ended.
 type AttemptEnded struct {
-	Call    CallID
+	Call CallID
+	// Engine tells the attempts of a request apart that run at once; if it is empty, the older one has ended.
+	Engine  fleet.EngineID
 	Outcome Outcome
 	// Delivered reports whether a part of a response has reached the caller.
 	Delivered bool
@@ -124,6 +128,9 @@
 	FirstByte time.Duration
 	// EventGap is the mean time between the events of a stream; 0 if it had fewer than two.
 	EventGap time.Duration
+	// Discarded reports, for an attempt that has errored, that its response was not held back: another attempt was
+	// under way.
+	Discarded bool
 	// Failed reports, for a completed attempt, whether the response is a failure of the engine.
 	Failed bool
 	// Report is nil without the header of a response.
--- a/internal/router/scratch.go
+++ b/internal/router/scratch.go
@@ -33,6 +33,11 @@
 		// The arrival of a request may send or refuse those that wait.
 		copied := *c
 		copied.pool = copies[c.pool]
+		if c.beside != nil {
+			beside := *c.beside
+			beside.pool = copies[beside.pool]
+			copied.beside = &beside
+		}
 		s.calls[id] = &copied
 	}
 	s.awaitingConfig = nil
--- a/internal/router/turns.go
+++ b/internal/router/turns.go
@@ -142,12 +142,12 @@
 
 // countStarted counts an attempt that is sent.
 func (r *Router) countStarted(c *call, pool *servicePool) {
-	c.wait.counted = false
+	c.counted = false
 	if !r.cfg.LoadControl {
 		return
 	}
 	r.waiting.queue.Started(c.service, c.customer)
-	c.wait.counted = true
+	c.counted = true
 	if pool.engines.HasTurns(r.now, c.engine) {
 		pool.turns.use(r.now, r.loadDelay())
 	}
--- a/internal/router/waiting.go
+++ b/internal/router/waiting.go
@@ -48,8 +48,6 @@
 	// rejected is set once an engine rejected the request for lack of room, rejectedBy lists those engines.
 	rejected   bool
 	rejectedBy []fleet.EngineID
-	// counted is set while the attempt counts among the running requests of its customer.
-	counted bool
 }
 
 func (w *waitState) init() { w.queue = waitqueue.New(waitqueue.Config{}) }
