gateway: what a replacement goes on with is decided under one lock

Callers saw: nothing yet; found by reading. In a window of microseconds, a replacement that begins while the silent engine's first events are about to be written could be asked for the stream from its start: with ids that are not numbers, events would come twice. It also read the header of the caller's response while that was being written.

Cause: whether a part was delivered was taken from the flag that is set once the header is written, which is later than the decision to write it.

Change: the decision sets its own flag, under the lock. A replacement takes over only if the header has been written by then and has its type; the type is kept apart from the header.

Tests: TestAttemptBesideAStreamThatBegins is new; it can't be built on the code before, which lacks the fields. internal/gateway and platform pass with the race detector.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,11 +82,10 @@
 func (c *callerRequest) newAttempt(cmd router.Send) *attempt {
 	a := &attempt{callerRequest: c, cmd: cmd, sentAt: c.g.now(), result: router.AttemptEnded{Call: c.id, Engine: cmd.Engine.ID}}
 	a.ctx, a.cancel = c.callContext(cmd.Deadline)
-	delivered := c.headerWritten.Load()
-	if cmd.Resume || delivered {
+	if cmd.Resume || c.begun {
 		a.resumeAfter = c.lastEvent
 	}
-	if delivered && !cmd.Beside {
+	if c.begun && !cmd.Beside {
 		a.state.begin(responseBegun)
 	}
 	if cmd.HeaderTimeout > 0 {
@@ -220,7 +219,7 @@
 // received a part.
 func (a *attempt) resumesStream() bool {
 	res := a.exchange.Response
-	return res.StatusCode == http.StatusOK && mediaType(res.Header) == mediaType(a.w.Header())
+	return res.StatusCode == http.StatusOK && mediaType(res.Header) == a.mediaType
 }
 
 // mediaType returns the content type of a header without parameters, or an empty string.
@@ -390,6 +389,7 @@
 		// Keeps net/http from guessing a type that the engine did not send.
 		header["Content-Type"] = nil
 	}
+	c.mediaType = mediaType(header)
 	c.headerWritten.Store(true)
 	c.w.WriteHeader(status)
 }
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -93,13 +93,17 @@
 	if _, ended := a.state.endedAs(); ended || c.settled || c.beside != a {
 		return false
 	}
+	if c.begun && !(c.headerWritten.Load() && a.resumesStream()) {
+		// The header was written after this attempt's response was checked, or is being written.
+		return false
+	}
 	if silent := c.current; silent != nil {
 		silent.end(router.Stalled)
 		if _, ended := silent.state.endedAs(); !ended {
 			return false
 		}
 	}
-	if c.headerWritten.Load() {
+	if c.begun {
 		a.state.begin(responseBegun)
 	}
 	c.current, c.beside = a, nil
@@ -112,6 +116,7 @@
 	if !a.state.begin(state) {
 		return false
 	}
+	a.begun = true
 	a.endBeside()
 	return true
 }
@@ -164,7 +169,7 @@
 	if c.current != nil {
 		c.current.end(router.Interrupted)
 	}
-	if c.beside != nil && !c.headerWritten.Load() {
+	if c.beside != nil && !c.begun {
 		c.beside.end(router.Interrupted)
 	}
 }
--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/router"
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
 	"github.com/bilberrywell/bilberrywell/placement"
 )
 
@@ -88,12 +92,35 @@
 	}
 }
 
+// Guards against a stream that is begun again because the first part of it was about to be written when the second attempt
+// began, or that goes on with another type.
+func TestAttemptBesideAStreamThatBegins(t *testing.T) {
+	c, silent, _ := pair()
+	c.g, c.r = &Gateway{start: time.Now()}, httptest.NewRequest(http.MethodPost, "/", nil)
+	c.lastEvent = "b"
+	require.True(t, silent.goOn(responseBegun))
+	beside := c.newAttempt(router.Send{Beside: true, Deadline: time.Hour})
+	defer beside.stop()
+	c.beside = beside
+	require.Equal(t, "b", beside.resumeAfter)
+	require.False(t, beside.takeOver(), "the header is being written")
+	c.mediaType = "text/event-stream"
+	c.headerWritten.Store(true)
+	beside.exchange = &upstream.Exchange{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}}}
+	require.False(t, beside.takeOver(), "another type")
+	require.Zero(t, endedAs(silent))
+}
+
 // Guards against a silent attempt that blocks the one beside it after it has ended, and against the end of an attempt
 // that has taken the place of the one that is to end.
 func TestAttemptBesideTakesOver(t *testing.T) {
 	c, silent, beside := pair()
+	c.beside = nil
+	require.True(t, silent.goOn(responseBegun))
 	c.headerWritten.Store(true)
-	silent.state.begin(responseBegun)
+	c.mediaType = "text/event-stream"
+	c.beside = beside
+	beside.exchange = &upstream.Exchange{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}}}
 	c.endStalled(router.EndStalledAttempt{Engine: "beside"})
 	require.Zero(t, endedAs(silent))
 	silent.result.Outcome = router.Broken
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -45,8 +45,8 @@
 	turn sync.Mutex
 	// current is the attempt whose response is forwarded, beside the one that may take its place; both may be nil.
 	current, beside *attempt
-	// settled is set once no other attempt may respond.
-	settled bool
+	// begun is set when an attempt begins to forward a response, settled once no other attempt may respond.
+	begun, settled bool
 	// usedConns are the connections to engines that have carried the request.
 	usedConns []*upstream.Conn
 	// lastEvent is the id of the last event that was forwarded, or that the caller named.
@@ -56,6 +56,8 @@
 
 	// headerWritten reports whether the header of an engine's response was written to the caller.
 	headerWritten atomic.Bool
+	// mediaType is the type of that response. It is set before headerWritten.
+	mediaType string
 	// heldFailure is an engine's failure response that is held back while another attempt may follow.
 	heldFailure *heldResponse
 	// eventDue reports whether the stream broke off inside an event, so that it is incomplete without another.
