gateway: an engine whose bytes wait to be read is not silent

Callers saw streams that ended in the middle.

The watch for silent engines only knows what this process has read. If the process has stood still or is busy for longer than the gap timeout, 0.2 s, as beside a change of the configuration on a weak machine, it fires for each open stream at once although events have arrived; and it fires while a caller does not read, because the next event is not read before that.

The watch now looks at the connection: an engine whose bytes have arrived does not count as silent. bilberry_late_reads_total counts such timeouts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
@@ -57,8 +58,10 @@
 	cancel context.CancelFunc
 	sentAt time.Duration
 	// resumeAfter is the id of the event after which the engine is to go on with the stream, or empty.
-	resumeAfter  string
-	exchange     *upstream.Exchange
+	resumeAfter string
+	exchange    *upstream.Exchange
+	// engineConn carries the exchange. The stall watch looks at it.
+	engineConn   atomic.Pointer[upstream.Conn]
 	responseHead ResponseHead
 	result       router.AttemptEnded
 	// eventForwarded reports whether the attempt has added an event to the caller's stream.
@@ -102,6 +105,7 @@
 		return false
 	}
 	a.useConn(conn)
+	a.engineConn.Store(conn)
 	a.exchange, err = a.g.engineConns.Do(a.ctx, conn, a.request(), a.ownerOf)
 	if err != nil {
 		outcome := router.Broken
@@ -118,6 +122,16 @@
 	return true
 }
 
+// reportStall reports a timeout of the engine. An engine whose bytes wait to be read is not silent: this process was
+// suspended or busy, or the caller does not read.
+func (a *attempt) reportStall() {
+	if conn := a.engineConn.Load(); conn != nil && conn.Unread() {
+		a.g.metrics.set.GetOrCreateCounter("bilberry_late_reads_total").Inc()
+		return
+	}
+	a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
+}
+
 // request builds the engine's copy of the request.
 func (a *attempt) request() *upstream.Request {
 	header := a.r.Header.Clone()
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/bilberrywell/bilberrywell/internal/router"
 )
 
 // stallWatch calls a function whenever nothing has happened for a timeout.
@@ -52,7 +51,5 @@
 
 // watchForStalls reports when the engine exceeds the header or gap timeout.
 func (a *attempt) watchForStalls() {
-	a.stallWatch = newStallWatch(a.cmd.HeaderTimeout, func() {
-		a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
-	})
+	a.stallWatch = newStallWatch(a.cmd.HeaderTimeout, a.reportStall)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -278,6 +278,12 @@
 	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
 }
 
+// Unread reports whether bytes have arrived that were not read from the connection. It may be called during an exchange.
+func (c *Conn) Unread() bool {
+	arrived, err := httputil.Peek(c.netConn)
+	return err == nil && arrived
+}
+
 // setIdleLifetime sets idleLifetime from the timeout in the engine's Keep-Alive header.
 func (c *Conn) setIdleLifetime(header http.Header) {
 	c.idleLifetime = defaultIdleLifetime
