upstream: a dial timeout that is noticed late lets the dial go on

Callers saw streams that ended in the middle, and refusals. The engines counted as unreachable.

A process that stands still, or has too little CPU time, notices the timeout and the open connection at the same time, and Go reports the timeout. It has not looked for the connection within the timeout, so the timeout says nothing about the engine.

A timeout that fires more than 20 ms late now gives the dial the same time once more.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -39,10 +40,14 @@
 	// dialTimeout bounds the time to open a connection. A round trip takes a few milliseconds, and a
 	// lost SYN is only retransmitted after a second; trying another engine is faster.
 	dialTimeout = 150 * time.Millisecond
+	// lateTimer is how late a timer must fire to show that this process was suspended or has too little CPU time.
+	lateTimer = 20 * time.Millisecond
 )
 
-// NewDialer returns a dialer whose connections fail within about two seconds if the other side becomes
-// unreachable.
+var errDialTimeout = errors.New("dial timeout")
+
+// NewDialer returns a dialer with a timeout, or none if it is 0, whose connections fail within about two seconds if the other
+// side becomes unreachable.
 func NewDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
@@ -86,10 +91,10 @@
 	closed bool
 }
 
-// NewPool returns an empty pool that opens connections with dial, or with NewDialer if it is nil.
+// NewPool returns an empty pool that opens connections with dial, or with NewDialer if it is nil. Open bounds their time.
 func NewPool(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Pool {
 	if dial == nil {
-		dial = NewDialer(dialTimeout).DialContext
+		dial = NewDialer(0).DialContext
 	}
 	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
 }
@@ -128,16 +133,37 @@
 
 // Open opens a connection.
 func (p *Pool) Open(ctx context.Context, addr string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, "tcp", addr)
+	dialCtx, stop := withDialTimeout(ctx)
+	defer stop()
+	conn, err := p.dial(dialCtx, "tcp", addr)
 	if err != nil {
+		if cause := context.Cause(dialCtx); cause != nil {
+			err = fmt.Errorf("%w: %w", cause, err)
+		}
 		return nil, err
 	}
 	head := &headLimit{source: conn}
 	return &Conn{addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleLifetime: defaultIdleLifetime}, nil
 }
 
+// withDialTimeout returns a context that ends after dialTimeout. If the timeout is noticed late, the process has not looked for
+// the connection meanwhile either, and the dial gets as much time again.
+func withDialTimeout(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	due := time.Now().Add(dialTimeout)
+	timer := time.AfterFunc(dialTimeout, func() {
+		if time.Since(due) < lateTimer {
+			cancel(errDialTimeout)
+			return
+		}
+		time.AfterFunc(dialTimeout, func() { cancel(errDialTimeout) })
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 // headLimit reads from a connection. While limited is set, it fails once remaining bytes were read.
 type headLimit struct {
 	source    io.Reader
