gateway: the rest of a request of which a part has arrived is received after the listener closes

A caller on a kept connection whose request arrives in parts while the instance stops saw its connection closed without an answer.

When the instance stops accepting, it ends the wait for further requests on the connections that have carried one. That also ended the wait for the rest of a header: only bytes that had arrived and were not read yet kept the connection open.

A connection on which a part of a request was read now stays open for the header timeout, and the request is served or refused like one on a new connection.

TestRequestOfWhichAPartHasArrivedIsAnswered failed before (three runs of three) and passes.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -107,11 +107,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.retired = true
-	if c.used && !c.active {
+	if c.awaitsNoRequest() {
 		_ = c.Conn.SetReadDeadline(time.Now())
 	}
 }
 
+// awaitsNoRequest reports whether the connection is retired and carries no further request. The rest of a request of which a
+// part was read is received: its caller has sent it while the connection was open.
+func (c *callerConn) awaitsNoRequest() bool {
+	return c.retired && c.used && !c.active && c.record.received.Load() == 0
+}
+
 // Read implements net.Conn. Bytes of a request that have arrived when a timeout is noticed are read: after a suspension
 // of the process both are found at the same time, and closing the connection would lose the request.
 func (c *callerConn) Read(b []byte) (int, error) {
@@ -157,7 +163,7 @@
 
 func (c *callerConn) idleDeadline(t time.Time) time.Time {
 	now := time.Now()
-	if c.retired && c.used {
+	if c.awaitsNoRequest() {
 		return now
 	}
 	if t.IsZero() {
