daemon: a request that has arrived when the idle timeout is noticed is read

A caller of a daemon that is suspended, or too busy to read for a while, saw its connection closed without an answer. The daemon noticed the idle timeout and the request at the same moment, and Go returns the timeout although bytes have arrived.

The listener for callers now reads bytes that have arrived by then, within one more header timeout for each request.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -275,13 +275,16 @@
 // shutdownTimeout bounds the shutdown of the HTTP servers after a drain.
 const shutdownTimeout = 2 * time.Second
 
+// callerListener is the name of the listener for callers.
+const callerListener = "callers"
+
 // listen opens the listeners for callers, peers and the admin interface.
 func (d *Daemon) listen() ([]*httputil.Server, error) {
 	handlers := []struct {
 		name, addr string
 		handler    http.Handler
 	}{
-		{"callers", d.settings.CallerAddr, d.callerHandler()},
+		{callerListener, d.settings.CallerAddr, d.callerHandler()},
 		{"peers", d.settings.PeerAddr, d.peers.Handler()},
 		{"admin", d.settings.AdminAddr, d.adminHandler()},
 	}
@@ -292,7 +295,11 @@
 			httputil.CloseListeners(servers)
 			return nil, oops.In("daemon").With("listener", h.name).Wrapf(err, "listen on %s", h.addr)
 		}
-		servers = append(servers, &httputil.Server{Name: h.name, Listener: listener, HTTP: d.httpServer(h.handler)})
+		server := d.httpServer(h.handler)
+		if h.name == callerListener {
+			listener = httputil.KeepUnread(server, listener, d.settings.HeaderTimeout)
+		}
+		servers = append(servers, &httputil.Server{Name: h.name, Listener: listener, HTTP: server})
 	}
 	// servers has the order of handlers, so the peers' server is the second.
 	if err := d.enablePeerTLS(servers[1]); err != nil {
