gateway: a stall is checked again when the router is free

The watch for silent engines reports to the router, which may be busy: a configuration comes into force, or the machine is slow. When the report was handled, the stream was ended for another engine even if an event had arrived and been forwarded meanwhile.

The report now holds only if the engine is still silent, by the watch and by its connection, when the router handles it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,14 +122,17 @@
 	return true
 }
 
-// reportStall reports a timeout of the engine. An engine whose bytes wait to be read is not silent: this process was
+// reportStall reports a timeout of the engine unless its bytes have been read meanwhile or wait to be read: then this process was
 // suspended or busy, or the caller does not read.
-func (a *attempt) reportStall() {
-	if conn := a.engineConn.Load(); conn != nil && conn.Unread() {
+func (a *attempt) reportStall(silent func() bool) {
+	a.g.stepIf(func() bool {
+		conn := a.engineConn.Load()
+		if silent() && (conn == nil || !conn.Unread()) {
+			return true
+		}
 		a.g.metrics.set.GetOrCreateCounter("bilberry_late_reads_total").Inc()
-		return
-	}
-	a.g.step(router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
+		return false
+	}, router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
 }
 
 // request builds the engine's copy of the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,9 +153,15 @@
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
 // step passes an event to the router and executes its effects.
-func (g *Gateway) step(ev router.Event) {
+func (g *Gateway) step(ev router.Event) { g.stepIf(func() bool { return true }, ev) }
+
+// stepIf does so if a condition still holds when the router is free.
+func (g *Gateway) stepIf(holds func() bool, ev router.Event) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !holds() {
+		return
+	}
 	for _, effect := range g.router.Step(g.now(), ev) {
 		g.execute(effect)
 	}
