gateway: count and log panics of request handlers

A panic of a handler ends the connection of its request without a response. net/http recovers it and writes the message to a log that the gateway discards, so that such a request could not be told from other closed connections.

Gateways now count it (bilberry_handler_panics_total) and log it with the stack (handler_panicked).

TestPanicOfAHandlerIsCounted failed before (no counter).

--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +123,25 @@
 	p.conn.setActive(false)
 	require.LessOrEqual(t, left(), time.Second+httputil.IdleSlack)
 }
+
+// brokenProtocol panics when it reads the header of a request that is marked so.
+type brokenProtocol struct{ Protocol }
+
+func (brokenProtocol) ReadCall(header http.Header) CallHead {
+	if header.Get("Broken") != "" {
+		header.Del("Broken")
+		panic("broken")
+	}
+	return CallHead{ID: "r1"}
+}
+
+// Guards against requests without an answer of which no line tells that their handler panicked.
+func TestPanicOfAHandlerIsCounted(t *testing.T) {
+	g := &Gateway{protocol: brokenProtocol{}, metrics: newMetrics()}
+	r := httptest.NewRequest("GET", "/x", nil)
+	r.Header.Set("Broken", "1")
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { g.serveCall(httptest.NewRecorder(), r) })
+	var text strings.Builder
+	g.metrics.set.WritePrometheus(&text)
+	require.Contains(t, text.String(), "bilberry_handler_panics_total 1")
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -67,6 +67,7 @@
 // serveCall serves one request.
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
 	arrived := g.now()
+	defer g.recordPanic(r)
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -146,3 +148,17 @@
 	conn.record.held.Store(c)
 	return func() { conn.record.held.Store(nil) }
 }
+
+// recordPanic counts and logs a panic of a request's handler, which net/http recovers: the request's connection ends without a
+// response.
+func (g *Gateway) recordPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		g.metrics.set.GetOrCreateCounter("bilberry_handler_panics_total").Inc()
+		klog.ErrorS(nil, "handler_panicked", "request", g.protocol.ReadCall(r.Header).ID, "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
