router: a running stream is not ended for an engine that has lost its last connection

Callers saw streams that ended in the middle, and 502.

An engine that crashes has no requests, so it looks free while the others are full, and the instances send it what stalls.

A stalled attempt goes on as long as the only other engines are ones whose last connection was lost, or could not be opened, in the last 4 s. Requests that no engine runs are placed as before. The choice is in placement, so that explain shows it (`lost`).

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"time"
-
 )
 
 // stallWatch calls a function whenever nothing has happened for a timeout.
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -1,11 +1,9 @@
 package router
 
 import (
-	"slices"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
-	"github.com/bilberrywell/bilberrywell/placement"
 	"github.com/bilberrywell/bilberrywell/routing"
 )
 
@@ -246,20 +244,6 @@
 	}
 }
 
-func (r *Router) placementRequest(c *call) placement.Request {
-	request := placement.Request{
-		DataCentre:          r.cfg.DataCentre,
-		Exclude:             slices.Concat(r.excludedTries(c), c.deniedEngines),
-		AvoidAsking:         c.asks >= maxAsks,
-		AvoidRecentlyPaused: !c.route.Repeatable(),
-	}
-	if c.route.Affinity {
-		request.Key = uint64(c.Prompt)
-	}
-	r.setForecast(c, &request)
-	return request
-}
-
 // giveUp refuses a request for which no further attempt is possible.
 func (r *Router) giveUp(c *call, code string) { r.giveUpFor(c, code, noEngineRetryAfter) }
 
--- /dev/null
+++ b/internal/router/placementrequest.go
@@ -0,0 +1,23 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/bilberrywell/bilberrywell/placement"
+)
+
+// placementRequest describes a request for the choice of an engine.
+func (r *Router) placementRequest(c *call) placement.Request {
+	request := placement.Request{
+		DataCentre:          r.cfg.DataCentre,
+		Exclude:             slices.Concat(r.excludedTries(c), c.deniedEngines),
+		AvoidAsking:         c.asks >= maxAsks,
+		AvoidRecentlyPaused: !c.route.Repeatable(),
+		AvoidLost:           c.running,
+	}
+	if c.route.Affinity {
+		request.Key = uint64(c.Prompt)
+	}
+	r.setForecast(c, &request)
+	return request
+}
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -12,6 +12,8 @@
 	ExcludedTried = "tried"
 	// ExcludedRecentlyPaused engines have not succeeded since their last pause, and the request can't be sent twice.
 	ExcludedRecentlyPaused = "recently_paused"
+	// ExcludedLost engines lost their last connection, and another engine runs the request.
+	ExcludedLost = "lost"
 	// ExcludedAsked engines have a rate limit that another instance enforces, which was asked often enough.
 	ExcludedAsked = "asked"
 
@@ -111,6 +113,9 @@
 	if m.health.admits(now, false) && !m.health.admits(now, request.AvoidRecentlyPaused) {
 		list = append(list, ExcludedRecentlyPaused)
 	}
+	if request.AvoidLost && m.health.isLost(now) {
+		list = append(list, ExcludedLost)
+	}
 	if slices.Contains(request.Exclude, m.ID) {
 		list = append(list, ExcludedTried)
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -59,7 +59,8 @@
 
 // usableBut reports whether an engine may get a request, regardless of its load, its rate limit and its warm-up.
 func (p *Pool) usableBut(now time.Duration, m *member, request Request) bool {
-	return m.acceptsNew(now) && m.health.admits(now, request.AvoidRecentlyPaused) && !slices.Contains(request.Exclude, m.ID)
+	return m.acceptsNew(now) && m.health.admits(now, request.AvoidRecentlyPaused) && !(request.AvoidLost && m.health.isLost(now)) &&
+		!slices.Contains(request.Exclude, m.ID)
 }
 
 // HasOther reports whether an engine other than the given one may get a request now, regardless of its load.
--- a/placement/clone_test.go
+++ b/placement/clone_test.go
@@ -55,7 +55,8 @@
 }
 
 func drawRequest(t *rapid.T) Request {
-	r := Request{Key: uint64(rapid.IntRange(0, 5).Draw(t, "key")), AvoidAsking: rapid.Bool().Draw(t, "asked"), AvoidRecentlyPaused: rapid.Bool().Draw(t, "not repeatable")}
+	r := Request{Key: uint64(rapid.IntRange(0, 5).Draw(t, "key")), AvoidAsking: rapid.Bool().Draw(t, "asked"), AvoidRecentlyPaused: rapid.Bool().Draw(t, "not repeatable"),
+		AvoidLost: rapid.Bool().Draw(t, "runs")}
 	if rapid.Bool().Draw(t, "tokens") {
 		r.Tokens, r.TargetLeft = Tokens{Prompt: 12_000 * rapid.IntRange(1, 2).Draw(t, "prompt") / 2, Own: 50}, 100*time.Millisecond
 	}
--- a/placement/health.go
+++ b/placement/health.go
@@ -27,6 +27,8 @@
 	// if the share would then reach it. When more engines fail, the cause is outside the engines.
 	// Unreachable engines and engines that reject requests as full are always paused.
 	maxPausedShare = 0.5
+	// lostMemory is how long an engine counts as lost without a success. A restarted engine is back within a few seconds.
+	lostMemory = 4 * time.Second
 )
 
 // Failure is the way in which an engine failed a request.
@@ -58,6 +60,10 @@
 	// last success.
 	pausedUntil       time.Duration
 	consecutivePauses int
+	// lost is set if a connection to the engine was lost or could not be opened, last at lostAt, and none of its answers was
+	// complete since.
+	lost   bool
+	lostAt time.Duration
 	// outcomes counts the successes and failures, failures only the latter; both leave out Unreachable
 	// and Rejected. The counts decay with countHalfLife; decayedAt is when they were last updated.
 	outcomes, failures float64
@@ -78,6 +84,9 @@
 	return !avoidRecentlyPaused || h.consecutivePauses == 0
 }
 
+// isLost reports whether the engine lost its last connection a short time ago.
+func (h *health) isLost(now time.Duration) bool { return h.lost && now-h.lostAt < lostMemory }
+
 // latencyFactor returns how many times slower than usual the engine answers, at least 1. It is 1
 // until there are three samples.
 func (h *health) latencyFactor() float64 {
@@ -115,6 +124,7 @@
 	h.decay(now)
 	h.outcomes++
 	h.consecutivePauses = 0
+	h.lost = false
 	if expected <= 0 {
 		return
 	}
@@ -135,6 +145,9 @@
 	}
 	h := &m.health
 	h.decay(now)
+	if failure == Unreachable || failure == ConnectionLost {
+		h.lost, h.lostAt = true, now
+	}
 	switch failure {
 	case Unreachable:
 		h.pause(now, initialPause)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -97,6 +97,9 @@
 	// AvoidRecentlyPaused avoids engines that have not succeeded since their last pause. It is set
 	// for requests that can't be sent twice.
 	AvoidRecentlyPaused bool
+	// AvoidLost avoids engines that lost their last connection. It is set for a request that another engine runs: an engine that
+	// fails at once looks free, and gets the requests of all instances whose engines are slow.
+	AvoidLost bool
 	// Tokens holds the request's tokens. If they are unknown, no forecast is made.
 	Tokens Tokens
 	// TargetLeft is the time that is left of the route's target latency; 0 if there is none.
