gateway, daemon: connections of callers can close their sending side

Callers whose request header exceeds what the server reads at all (64 KB, 68 KB on the wire) got the status 431, and a reset instead of the end of the response.

net/http closes the sending side first and the connection half a second later, if the connection has CloseWrite. The listeners of gateways, and of daemons since, wrap their connections and hid it, so that the close with bytes unread reset them.

Both have the method now.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -84,6 +84,9 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the sending side.
+func (c *callerConn) CloseWrite() error { return httputil.CloseWrite(c.Conn) }
+
 // setActive records the connection's state. When a request arrives it removes the deadline of the idle
 // connection, which would otherwise end that request.
 func (c *callerConn) setActive(active bool) {
--- a/internal/httputil/server.go
+++ b/internal/httputil/server.go
@@ -34,6 +34,16 @@
 	}
 }
 
+// CloseWrite closes the sending side of a connection. A listener's connections need a method that calls it: with it net/http ends a
+// response after which it closes the connection, although bytes of the request that are still on their way reset that.
+func CloseWrite(conn net.Conn) error {
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // CloseListeners closes the listeners of servers on which Serve was not called.
 func CloseListeners(servers []*Server) {
 	for _, s := range servers {
--- a/internal/httputil/unread.go
+++ b/internal/httputil/unread.go
@@ -64,6 +64,9 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side.
+func (c *unreadConn) CloseWrite() error { return CloseWrite(c.Conn) }
+
 func (c *unreadConn) prolong() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
