--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,9 @@
 // EngineID names one back end: a model engine or a replica of a plain service.
 type EngineID string
 
+// EngineVersion is the version of the software that an engine runs, as it registered it; empty if it registered none.
+type EngineVersion string
+
 // CustomerID names a customer.
 type CustomerID string
 
