placement, registry, platform: the software version of engines

Registrations name the version of the engine's software, which was not read. A request may be limited to engines of one version; explanations name the reason (version). Nothing limits a request yet.

Test: TestOnlyEnginesOfItsVersionGetTheRestOfAStream, for all ways in which an engine is chosen, the last resort too. TestRegistrations expects the version that its entry had all along.

--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -10,6 +10,8 @@
 const (
 	// ExcludedTried engines have had the request already.
 	ExcludedTried = "tried"
+	// ExcludedVersion engines run another version than the one that began the stream.
+	ExcludedVersion = "version"
 	// ExcludedRecentlyPaused engines have not succeeded since their last pause, and the request can't be sent twice.
 	ExcludedRecentlyPaused = "recently_paused"
 	// ExcludedLost engines lost their last connection, and another engine runs the request.
@@ -119,6 +121,9 @@
 	if slices.Contains(request.Exclude, m.ID) {
 		list = append(list, ExcludedTried)
 	}
+	if !request.permitsVersion(&m.Engine) {
+		list = append(list, ExcludedVersion)
+	}
 	if m.limitAdmits(now, false) && !m.limitAdmits(now, request.AvoidAsking) {
 		list = append(list, ExcludedAsked)
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -60,7 +60,7 @@
 // usableBut reports whether an engine may get a request, regardless of its load, its rate limit and its warm-up.
 func (p *Pool) usableBut(now time.Duration, m *member, request Request) bool {
 	return m.acceptsNew(now) && m.health.admits(now, request.AvoidRecentlyPaused) && !(request.AvoidLost && m.health.isLost(now)) &&
-		!slices.Contains(request.Exclude, m.ID)
+		request.permits(&m.Engine)
 }
 
 // HasOther reports whether an engine other than the given one may get a request now, regardless of its load.
@@ -283,7 +283,7 @@
 func (p *Pool) chooseLastResort(now time.Duration, request Request, mean float64) (Choice, bool) {
 	var best *member
 	for _, m := range p.memberList {
-		if !m.acceptsNew(now) || !m.mayReceive(now, request) || slices.Contains(request.Exclude, m.ID) {
+		if !m.acceptsNew(now) || !m.mayReceive(now, request) || !request.permits(&m.Engine) {
 			continue
 		}
 		if best == nil || m.health.pausedUntil < best.health.pausedUntil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,6 +33,8 @@
 	QuietUntil time.Duration
 	// Incarnation differs for each start of the engine; it is 0 if unknown.
 	Incarnation uint64
+	// Version is the version of the engine's software.
+	Version fleet.EngineVersion
 }
 
 // Load is the load that an engine reports of itself, in requests.
@@ -106,6 +108,17 @@
 	TargetLeft time.Duration
 	// AvoidAsking leaves out engines whose rate limit another instance enforces.
 	AvoidAsking bool
+	// OnlyVersion is the version at which a stream that has begun must go on, or nil.
+	OnlyVersion *fleet.EngineVersion
+}
+
+// permits reports whether an engine may get the request at all: it has not got it before, and it runs the right version.
+func (r *Request) permits(e *Engine) bool {
+	return !slices.Contains(r.Exclude, e.ID) && r.permitsVersion(e)
+}
+
+func (r *Request) permitsVersion(e *Engine) bool {
+	return r.OnlyVersion == nil || *r.OnlyVersion == e.Version
 }
 
 // Tokens counts the tokens of a request. The zero value means that they are unknown.
@@ -273,7 +286,7 @@
 func (p *Pool) NextQuietEnd(now time.Duration, request Request) (time.Duration, bool) {
 	shortest, found := time.Duration(0), false
 	for _, m := range p.memberList {
-		if !m.inService() || now >= m.QuietUntil || slices.Contains(request.Exclude, m.ID) {
+		if !m.inService() || now >= m.QuietUntil || !request.permits(&m.Engine) {
 			continue
 		}
 		if wait := m.QuietUntil - now; !found || wait < shortest {
@@ -295,6 +308,11 @@
 	return p.totals.inService
 }
 
+// Offers reports whether an engine of a version is in service.
+func (p *Pool) Offers(version fleet.EngineVersion) bool {
+	return slices.ContainsFunc(p.memberList, func(m *member) bool { return m.inService() && m.Version == version })
+}
+
 // OnlyEvacuated reports whether the pool has evacuated engines and no engine in service.
 func (p *Pool) OnlyEvacuated() bool {
 	evacuated := slices.ContainsFunc(p.memberList, func(m *member) bool { return m.Evacuated && !m.Draining })
--- a/placement/warmup.go
+++ b/placement/warmup.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
@@ -95,7 +94,7 @@
 // those before they are warm.
 func (p *Pool) NextWarmUpToken(now time.Duration, request Request) (wait time.Duration, served, found bool) {
 	for _, m := range p.memberList {
-		if !m.warming(now) || !m.acceptsNew(now) || slices.Contains(request.Exclude, m.ID) {
+		if !m.warming(now) || !m.acceptsNew(now) || !request.permits(&m.Engine) {
 			continue
 		}
 		next, ok := m.nextWarmUpToken(now)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -29,6 +29,8 @@
 	// StartedAtMillis identifies the engine's process: the wall-clock millisecond of its start, 0 if
 	// unknown.
 	StartedAtMillis int64
+	// Version is the version of the engine's software, empty if it registered none.
+	Version fleet.EngineVersion
 	// ColdFor is how much longer the engine stayed cold when it registered; 0 if it was warm.
 	ColdFor time.Duration
 	// Finding describes a value that was replaced by a usable one, for logs; empty without one.
