router: a stream goes on at the software version that began it

Cause: nothing read the version of a registration or the name of the attempt that a caller goes on with, and what was known of a stream ended with the process that served it.

Change: the version of the engine that wrote the first event is fixed for the stream. Only engines of that version go on with it; of two attempts under way, one at another version does not take over. For the rest of a stream that a caller requests, the version is found in the instance's memory; or it is the only one at which open streams may have begun, by a record in the store that changes before streams begin at a further version; or keepers know it, who write what they keep to the store and read it there after a restart. Otherwise the request is refused before it is sent (stream_version_unknown, stream_version_gone).

Why it works: every way to an engine goes through placement.Request, which carries the version once an event has reached the caller, and a request for the rest of a stream is not placed before its version is known.

TestUnreadTokensEndWithTheReading asked that streams without token counts don't report their first event; resumable ones now do, so it asks that of a stream that no engine can go on with. The list of what a copy of the router shares (TestScratchSharesNothingThatChanges) gets the new state, which explanations only read.

--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -97,6 +97,10 @@
 		// The header was written after this attempt's response was checked, or is being written.
 		return false
 	}
+	if c.begun && c.begunVersion != a.cmd.Engine.Version {
+		// The stream began after this attempt's engine was chosen.
+		return false
+	}
 	if silent := c.current; silent != nil {
 		silent.end(router.Stalled)
 		if _, ended := silent.state.endedAs(); !ended {
@@ -116,7 +120,9 @@
 	if !a.state.begin(state) {
 		return false
 	}
-	a.begun = true
+	if !a.begun {
+		a.begun, a.begunVersion = true, a.cmd.Engine.Version
+	}
 	a.endBeside()
 	return true
 }
--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -82,6 +82,14 @@
 			silent.finish()
 		},
 		"the instance stops": func(c *callerRequest, _, _ *attempt) { c.interrupt() },
+		"another version of the engines' software has begun the stream": func(c *callerRequest, silent, beside *attempt) {
+			silent.cmd.Engine.Version, beside.cmd.Engine.Version = "v1", "v2"
+			require.True(t, silent.goOn(responseBegun))
+			c.beside = beside
+			c.mediaType = "text/event-stream"
+			c.headerWritten.Store(true)
+			beside.exchange = &upstream.Exchange{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}}}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c, silent, beside := pair()
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -20,6 +20,7 @@
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/internal/router"
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
+	"github.com/bilberrywell/bilberrywell/versions"
 )
 
 // defaultMaxBodyBytes bounds a request body while no configuration sets the limit.
@@ -45,8 +46,10 @@
 	turn sync.Mutex
 	// current is the attempt whose response is forwarded, beside the one that may take its place; both may be nil.
 	current, beside *attempt
-	// begun is set when an attempt begins to forward a response, settled once no other attempt may respond.
+	// begun is set when an attempt begins to forward a response, settled once no other attempt may respond. begunVersion is
+	// the software version of the engine of the attempt that began.
 	begun, settled bool
+	begunVersion   fleet.EngineVersion
 	// usedConns are the connections to engines that have carried the request.
 	usedConns []*upstream.Conn
 	// lastEvent is the id of the last event that was forwarded, or that the caller named.
@@ -102,6 +105,7 @@
 		PromptParts:   head.PromptParts,
 		Tokens:        head.Tokens,
 		Resumes:       head.LastEvent != "",
+		Stream:        versions.KeyOf(head.Stream),
 		CallerTimeout: head.CallerTimeout,
 		BodyBytes:     int64(len(body)),
 		Arrived:       arrived,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	peers            *peer.Manager
 	events           chan router.Event
 	storeWatch       *watchSwitch
+	origins          originWriter
 	presence         *platform.Presence
 	// listedOnce reports whether the keys were listed since the process started. Only the goroutine of
 	// watchStore uses it.
@@ -213,6 +214,12 @@
 		g.presence.Renew()
 	case router.StoreKey:
 		g.tasks.Go(func() { g.storeKey(e) })
+	case router.StoreOrigins:
+		g.tasks.Go(func() { g.origins.store(g, e) })
+	case router.LoadOrigins:
+		g.tasks.Go(func() { g.loadOrigins(e) })
+	case router.ReplaceKey:
+		g.tasks.Go(func() { g.replaceKey(e) })
 	case router.RemoveKey:
 		g.tasks.Go(func() { g.removeKey(e) })
 	case router.CheckEngine:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -197,6 +197,13 @@
 	return fact, err
 }
 
+// ListBefore implements platform.Keyspace.
+func (s meteredStore) ListBefore(ctx context.Context, prefix, end string) (platform.Listing, error) {
+	listing, err := s.Keyspace.ListBefore(ctx, prefix, end)
+	s.metrics.storeCall("list", err)
+	return listing, err
+}
+
 // List implements platform.Keyspace.
 func (s meteredStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	listing, err := s.Keyspace.List(ctx, prefix)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -33,6 +33,9 @@
 	PromptParts []fleet.Fingerprint
 	// LastEvent is the id of the last event of a stream that the caller has received.
 	LastEvent string
+	// Stream is the ID of the caller's attempt that received the first event of that stream, or empty if the caller did
+	// not say.
+	Stream string
 	// Tokens holds the tokens of the prompt and the output; zero if the caller did not say.
 	Tokens placement.Tokens
 }
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -151,7 +151,7 @@
 }
 
 func (g *Gateway) listKeys(ctx context.Context) (uint64, error) {
-	listing, err := g.store.List(ctx, "")
+	listing, err := g.store.ListBefore(ctx, "", router.OriginsPrefix)
 	defer g.storeTried.set()
 	if err != nil {
 		return 0, err
@@ -203,6 +203,19 @@
 	}
 }
 
+// replaceKey writes a key unless it has changed since the router read it.
+func (g *Gateway) replaceKey(e router.ReplaceKey) {
+	ctx, cancel := context.WithTimeout(g.ctx, storeKeyTimeout)
+	defer cancel()
+	_, err := g.store.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: e.Key, Revision: e.Revision}},
+		Writes:     []platform.Write{{Key: e.Key, Value: e.Value}},
+	})
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		klog.InfoS("key not replaced", "key", e.Key, "error", err.Error())
+	}
+}
+
 func (g *Gateway) removeKey(e router.RemoveKey) {
 	ctx, cancel := context.WithTimeout(g.ctx, storeKeyTimeout)
 	defer cancel()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -68,7 +68,7 @@
 func (a *attempt) reportFirstEvent() {
 	if a.cmd.ReportFirstEvent {
 		a.cmd.ReportFirstEvent = false
-		a.g.step(router.FirstEventReceived{Call: a.id})
+		a.g.step(router.FirstEventReceived{Call: a.id, Engine: a.cmd.Engine.ID})
 	}
 }
 
--- a/internal/platform/keyspace.go
+++ b/internal/platform/keyspace.go
@@ -59,6 +59,8 @@
 	Get(ctx context.Context, key string) (replica.Fact, error)
 	// List reads all keys under a prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
+	// ListBefore reads the keys under a prefix that sort before end.
+	ListBefore(ctx context.Context, prefix, end string) (Listing, error)
 	// Changes waits at most wait for changes under a prefix after a revision. It returns the changes,
 	// if any, with the revision from which the next call continues.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]replica.Fact, uint64, error)
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -63,7 +63,7 @@
 // recordEnd records the outcome of an attempt.
 func (r *Router) recordEnd(c *call, ev AttemptEnded) {
 	c.running = false
-	c.partDelivered = c.partDelivered || ev.Delivered
+	r.recordDelivery(c, ev.Delivered)
 	c.endsWithoutID = ev.EndsWithoutID
 	c.pool.engines.Ended(c.engine)
 	r.recordPace(c.pool, c.engine, ev.EventGap)
@@ -164,6 +164,9 @@
 	case c.partDelivered && (c.route.Kind != routing.Streaming || c.endsWithoutID):
 		// The caller would take another response for the rest of this one.
 		return false
+	case c.partDelivered && c.route.ResumableStream() && c.origin == nil:
+		// Which of two attempts began the stream is not known yet.
+		return false
 	case r.now+minRetryTime >= c.deadline || len(c.triedEngines)+pending >= maxTries:
 		return false
 	case runs == 0:
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -5,6 +5,7 @@
 
 	"github.com/bilberrywell/bilberrywell/fleet"
 	"github.com/bilberrywell/bilberrywell/routing"
+	"github.com/bilberrywell/bilberrywell/versions"
 )
 
 const (
@@ -70,6 +71,10 @@
 	lastFailedAlike bool
 	// partDelivered reports whether a part of a response has reached the caller.
 	partDelivered bool
+	// origin is what began the stream of which the caller has a part, or nil while the caller has none.
+	origin *versions.Origin
+	// originKept is set once this instance remembers the origin.
+	originKept bool
 	// endsWithoutID reports whether the last event of that part has no id.
 	endsWithoutID bool
 	// heldFrom is the engine whose failure response is held back, or empty.
@@ -157,7 +162,9 @@
 		pool.demand.add(r.now)
 	}
 	r.countArrival(c)
-	r.place(c)
+	if r.findsOrigin(c) {
+		r.place(c)
+	}
 }
 
 // authenticate sets the customer and the urgency of a request. It returns false if the route requires
@@ -219,6 +226,10 @@
 		r.giveUp(c, "no_engine")
 		return
 	}
+	if !r.canGoOn(c, pool) {
+		r.giveUpFor(c, "stream_version_gone", 0)
+		return
+	}
 	if c.reachedAttempts > 0 && !r.takeRetry(c, pool) {
 		r.giveUp(c, "retry_budget")
 		return
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -147,6 +147,13 @@
 // RenewPresence writes the instance's own key to the store again if it is gone.
 type RenewPresence struct{}
 
+// ReplaceKey writes a key without a lease to the store if its revision is Revision; 0 means that the key must be absent.
+type ReplaceKey struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
 // StoreKey writes a key to the store with a lease, unless the key exists.
 type StoreKey struct {
 	Key   string
@@ -245,6 +252,7 @@
 func (ListKeys) effect()             {}
 func (RenewPresence) effect()        {}
 func (StoreKey) effect()             {}
+func (ReplaceKey) effect()           {}
 func (RemoveKey) effect()            {}
 func (SendMessage) effect()          {}
 func (SendToMany) effect()           {}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -7,6 +7,7 @@
 	"github.com/bilberrywell/bilberrywell/internal/wire"
 	"github.com/bilberrywell/bilberrywell/placement"
 	"github.com/bilberrywell/bilberrywell/replica"
+	"github.com/bilberrywell/bilberrywell/versions"
 )
 
 // CallID identifies a caller's request within one process.
@@ -34,6 +35,8 @@
 	Tokens placement.Tokens
 	// Resumes reports whether the caller already has a part of the stream that it requests.
 	Resumes bool
+	// Stream identifies the stream of which the caller has a part, if it said.
+	Stream versions.StreamKey
 	// CallerTimeout is how long the caller waits for a response; 0 if it did not say.
 	CallerTimeout time.Duration
 	// BodyBytes is the size of the body, which is held until the request has its response.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -96,6 +96,7 @@
 func (r *Router) peerUp(ev PeerUp) {
 	r.members.linked[ev.Instance] = &peerState{incarnation: ev.Incarnation, linkedAt: r.now, lastReportAt: r.now, readStoreAt: never, watcherScore: watcherScore(ev.Instance)}
 	r.emit(Decision{Kind: "peer_up", Fields: []any{"peer", ev.Instance}})
+	r.streams.keeping.keepers = nil
 	r.rebuildGrid()
 	r.sendStatusReport(ev.Instance)
 	r.sendStoreRead(ev.Instance)
@@ -114,6 +115,7 @@
 	delete(r.members.linked, ev.Instance)
 	r.emit(Decision{Kind: "peer_down", Fields: []any{"peer", ev.Instance}})
 	r.differingPeerDown(ev.Instance)
+	r.streams.keeping.keepers = nil
 	r.rebuildGrid()
 	r.warmUps.viewStale = true
 	r.electWatchers()
@@ -147,6 +149,12 @@
 		r.tokenReplied(m)
 	case *wire.EngineWarmUps:
 		r.warmUpsReceived(m)
+	case *wire.StreamOrigins:
+		r.originsReceived(m)
+	case *wire.StreamOriginRequest:
+		r.originRequested(ev.From, m)
+	case *wire.StreamOriginReply:
+		r.originReplied(m)
 	}
 }
 
--- a/internal/router/placementrequest.go
+++ b/internal/router/placementrequest.go
@@ -14,10 +14,14 @@
 		AvoidAsking:         c.asks >= maxAsks,
 		AvoidRecentlyPaused: !c.route.Repeatable(),
 		AvoidLost:           c.running,
+		Begins:              c.route.ResumableStream(),
 	}
 	if c.route.Affinity {
 		request.Key = uint64(c.Prompt)
 	}
+	if c.origin != nil && c.origin.Service == c.service {
+		request.OnlyVersion = &c.origin.Version
+	}
 	r.setForecast(c, &request)
 	return request
 }
--- a/internal/router/reading.go
+++ b/internal/router/reading.go
@@ -22,7 +22,11 @@
 }
 
 // FirstEventReceived reports the first event of the stream of an attempt. It is reported if Send asked for it.
-type FirstEventReceived struct{ Call CallID }
+type FirstEventReceived struct {
+	Call CallID
+	// Engine is the engine of the attempt.
+	Engine fleet.EngineID
+}
 
 // FirstEventDone counts the first event of a request that names its tokens.
 type FirstEventDone struct {
@@ -91,7 +95,13 @@
 // prompt, and its caller does not wait for the first event.
 func (r *Router) firstEventReceived(ev FirstEventReceived) {
 	c := r.calls[ev.Call]
-	if c == nil || !c.reading.pending {
+	if c == nil || !c.running {
+		return
+	}
+	if sender := c.attemptAt(ev.Engine); sender != nil {
+		r.streamBegan(c, sender.version)
+	}
+	if !c.reading.pending {
 		return
 	}
 	c.readingDone()
--- a/internal/router/reading_test.go
+++ b/internal/router/reading_test.go
@@ -30,7 +30,7 @@
 func TestUnreadTokensEndWithTheReading(t *testing.T) {
 	s := newSession(t, 5)
 	own := func() int { n, _ := s.unread(); return n }
-	require.False(t, s.call("/chat/x").ReportFirstEvent, "no token counts")
+	require.False(t, s.call("/plan/x").ReportFirstEvent, "no token counts, and no engine can go on with the stream")
 	s.step(FirstEventReceived{Call: s.last})
 	require.Zero(t, own())
 	require.True(t, s.prompt("/chat/x", 900).ReportFirstEvent)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,6 +122,7 @@
 	notices     *notice.Tracker
 	tokens      tokenState
 	delayed     delayedRetries
+	streams     streamState
 	relays      relayState
 	drain       drainState
 	ready       bool
@@ -164,6 +165,7 @@
 	r.members.init()
 	r.loads.init()
 	r.tokens.init()
+	r.streams.init()
 	r.delayed.init()
 	r.waiting.init()
 	r.relays.init()
@@ -190,6 +192,7 @@
 func (r *Router) Step(now time.Duration, ev Event) []Effect {
 	r.now = now
 	r.effects = r.effects[:0]
+	r.noticeSuspension()
 	switch ev := ev.(type) {
 	case CallArrived:
 		r.callArrived(ev)
@@ -209,6 +212,10 @@
 		r.keysListed(ev)
 	case KeysChanged:
 		r.keysChanged(ev)
+	case OriginsStored:
+		r.originsStored(ev)
+	case OriginsLoaded:
+		r.originsLoaded(ev)
 	case StoreLost:
 		r.storeLost(ev)
 	case PeerUp:
@@ -236,6 +243,7 @@
 	r.tickNotices()
 	r.tickWarmUps()
 	r.tickTokens()
+	r.tickStreams()
 	r.tickAlike()
 	r.tickRetries()
 	r.tickWaiting()
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -17,8 +17,8 @@
 )
 
 // fakeDecoder reads configurations as a version with padding, and registrations as "ready" or "draining",
-// followed by "@" and the start time if there is one. The data centre of an engine follows a dot in its id; without one it
-// is "dc".
+// followed by "@" and the start time and by "#" and the version if there are any. The data centre of an engine follows a
+// dot in its id; without one it is "dc".
 type fakeDecoder struct{}
 
 func (fakeDecoder) Prefixes() (string, string) { return "config", "engines/" }
@@ -54,7 +54,8 @@
 }
 
 func (fakeDecoder) Engine(key string, value []byte) (registry.Engine, error) {
-	state, started, _ := strings.Cut(string(value), "@")
+	text, version, _ := strings.Cut(string(value), "#")
+	state, started, _ := strings.Cut(text, "@")
 	if state != "ready" && state != "draining" {
 		return registry.Engine{}, errors.New("bad registration")
 	}
@@ -64,7 +65,8 @@
 	if _, name, found := strings.Cut(id, "."); found {
 		dc = name
 	}
-	return registry.Engine{ID: fleet.EngineID(id), Service: "s", Addr: id + ":80", DataCentre: fleet.DataCentre(dc), Slots: 8, Draining: state == "draining", StartedAtMillis: startedAt}, nil
+	return registry.Engine{ID: fleet.EngineID(id), Service: "s", Addr: id + ":80", DataCentre: fleet.DataCentre(dc), Slots: 8, Draining: state == "draining", StartedAtMillis: startedAt,
+		Version: fleet.EngineVersion(version)}, nil
 }
 
 // session drives a router and keeps the effects of the last step.
--- a/internal/router/scratch.go
+++ b/internal/router/scratch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/versions"
 )
 
 // scratch returns a copy of the router that handles CallArrived as the router would at time now, and leaves it unchanged.
@@ -45,5 +46,7 @@
 	s.poison.detector = r.poison.detector.CloneForCheck()
 	s.tokens.pending = maps.Clone(r.tokens.pending)
 	s.delayed.pending = maps.Clone(r.delayed.pending)
+	s.streams.pending = maps.Clone(r.streams.pending)
+	s.streams.keeping.loads = make(map[versions.Partition]*originLoad)
 	return &s
 }
--- a/internal/router/sending.go
+++ b/internal/router/sending.go
@@ -12,7 +12,9 @@
 type attempt struct {
 	engine fleet.EngineID
 	// engineRun is the engine's process as it was registered when the attempt was sent.
-	engineRun    notice.Run
+	engineRun notice.Run
+	// version is that of the engine's software then.
+	version      fleet.EngineVersion
 	choiceReason placement.Reason
 	sentAt       time.Duration
 	// try is the number of the attempt, from 1.
@@ -33,6 +35,17 @@
 	counted bool
 }
 
+// attemptAt returns the attempt under way at an engine, or nil.
+func (c *call) attemptAt(engine fleet.EngineID) *attempt {
+	switch {
+	case c.running && c.engine == engine:
+		return &c.attempt
+	case c.beside != nil && c.beside.engine == engine:
+		return c.beside
+	}
+	return nil
+}
+
 // underWay returns the number of attempts of a request that were sent and have not ended.
 func (c *call) underWay() int {
 	n := 0
@@ -64,7 +77,7 @@
 func (r *Router) begin(c *call, pool *servicePool, choice placement.Choice, beside bool) {
 	registered, _ := r.registry.Get(choice.Engine.ID)
 	c.attempt = attempt{
-		engine: choice.Engine.ID, engineRun: runOf(registered), choiceReason: choice.Reason, sentAt: r.now, running: true, pool: pool,
+		engine: choice.Engine.ID, engineRun: runOf(registered), version: choice.Engine.Version, choiceReason: choice.Reason, sentAt: r.now, running: true, pool: pool,
 		cacheFetch: choice.FetchFrom != "", attemptCounted: c.retryCounted,
 	}
 	c.retryCounted = false
@@ -89,7 +102,7 @@
 		Resume:        c.partDelivered,
 		Beside:        beside,
 
-		ReportFirstEvent: c.reportsFirstEvent(),
+		ReportFirstEvent: c.reportsFirstEvent() || c.route.ResumableStream(),
 	})
 	fields := []any{"engine", c.engine, "reason", choice.Reason.String(), "load", choice.Load,
 		"mean", choice.Mean, "try", c.try, "config", r.table.Version, "fetch", choice.FetchFrom}
--- a/internal/router/stalls.go
+++ b/internal/router/stalls.go
@@ -49,7 +49,7 @@
 	if !beside && (c.beside != nil || c.engine != ev.Engine) {
 		return
 	}
-	c.partDelivered = c.partDelivered || ev.Delivered
+	r.recordDelivery(c, ev.Delivered)
 	pool := r.pools[c.service]
 	if pool == nil || !r.mayReplace(c) || !r.retryAllowed(c, pool) {
 		return
@@ -105,7 +105,7 @@
 
 // replace sends a request, whose engine is silent, to another engine if the retry budget allows it.
 func (r *Router) replace(c *call, pool *servicePool, choice placement.Choice) {
-	if r.takeRetry(c, pool) {
+	if c.fits(choice.Engine.Version) && r.takeRetry(c, pool) {
 		r.sendBeside(c, pool, choice)
 	}
 }
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -45,8 +46,30 @@
 	relist    bool
 }
 
+// ownPrefix precedes the keys that instances write and exchange.
+const ownPrefix = "bilberrywell/"
+
+// FactPrefixes returns the prefixes of the keys that instances exchange.
+func FactPrefixes(decoder StoreDecoder) []string {
+	configuration, registrations := decoder.Prefixes()
+	return []string{configuration, registrations, decoder.EvacuationPrefix(), ownPrefix}
+}
+
+// exchanged returns the facts that instances exchange. Other keys, such as those with origins of streams, are left out.
+func (r *Router) exchanged(facts []replica.Fact) []replica.Fact {
+	prefixes := FactPrefixes(r.cfg.StoreDecoder)
+	other := func(f replica.Fact) bool {
+		return !slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(f.Key, prefix) })
+	}
+	if !slices.ContainsFunc(facts, other) {
+		return facts
+	}
+	return slices.DeleteFunc(slices.Clone(facts), other)
+}
+
 func (r *Router) keysListed(ev KeysListed) {
 	r.storeReachable()
+	ev.Facts = r.exchanged(ev.Facts)
 	r.numberConfigurations(ev.Facts)
 	restored := r.enterEra(ev.AtRevision)
 	r.poison.storing.listed(ev.Facts)
@@ -67,6 +90,7 @@
 
 func (r *Router) keysChanged(ev KeysChanged) {
 	r.storeReachable()
+	ev.Facts = r.exchanged(ev.Facts)
 	r.numberConfigurations(ev.Facts)
 	changed := r.replica.Merge(ev.Facts)
 	r.applyFacts(changed)
@@ -111,7 +135,7 @@
 	if _, registrations := r.cfg.StoreDecoder.Prefixes(); strings.HasPrefix(key, registrations) {
 		if e, err := r.cfg.StoreDecoder.Engine(key, value); err == nil {
 			return fleet.Hash(string(e.Service), e.Addr, string(e.DataCentre), strconv.Itoa(e.Slots),
-				strconv.FormatBool(e.Draining), strconv.FormatInt(e.StartedAtMillis, 10), strconv.FormatBool(e.ColdFor > 0))
+				strconv.FormatBool(e.Draining), strconv.FormatInt(e.StartedAtMillis, 10), strconv.FormatBool(e.ColdFor > 0), string(e.Version))
 		}
 	}
 	return fleet.Hash(string(value))
@@ -133,6 +157,8 @@
 			instancesChanged = true
 		case strings.HasPrefix(f.Key, QuarantinePrefix):
 			r.applyQuarantine(f)
+		case strings.HasPrefix(f.Key, VersionsPrefix):
+			enginesChanged = r.applyVersions(f) || enginesChanged
 		}
 	}
 	if enginesChanged {
@@ -164,6 +190,7 @@
 		r.emit(Decision{Kind: "configuration_finding", Fields: []any{"version", config.Version, "finding", finding.String()}})
 	}
 	r.table = table
+	r.setOriginLife()
 	r.emit(ConfigInForce{Table: table})
 	r.emit(Decision{Kind: "configuration_in_force", Fields: []any{"version", config.Version, "revision", replica.FormatRevision(f.Revision)}})
 	r.rebuildPools()
@@ -290,10 +317,12 @@
 			pool = &servicePool{engines: placement.New(placement.Config{LoadFactor: r.cfg.LoadFactor, Forecast: r.cfg.Forecast}, r.rng)}
 		}
 		var engines []placement.Engine
-		for _, e := range r.registry.Service(id) {
+		registered := r.registry.Service(id)
+		opening := r.openingVersions(id, registered)
+		for _, e := range registered {
 			engines = append(engines, placement.Engine{ID: e.ID, Addr: e.Addr, DataCentre: e.DataCentre, Slots: e.Slots,
 				Draining: e.Draining || r.notices.Leaving(runOf(e)), Evacuated: r.evacuated(e.DataCentre), QuietUntil: r.notices.QuietUntil(runOf(e)),
-				Incarnation: uint64(e.StartedAtMillis)})
+				Incarnation: uint64(e.StartedAtMillis), Version: e.Version, Opening: opening[e.Version]})
 		}
 		pool.engines.SetEngines(r.now, engines)
 		pool.engines.SetShortestTarget(r.table.ShortestTarget(id))
--- a/internal/router/storefleet_test.go
+++ b/internal/router/storefleet_test.go
@@ -44,6 +44,8 @@
 	plans map[time.Duration]func()
 	// configBytes is the least size of the configurations that are published.
 	configBytes int
+	// engineVersion is that of the engines with which the fleet starts. If it is set, instances write to the store.
+	engineVersion string
 }
 
 type fleetMember struct {
@@ -59,6 +61,10 @@
 	// known is the version of the configuration in force, and knownAt when it was put in force.
 	known   uint64
 	knownAt time.Duration
+	// ended holds what became of each call: the Send of its first attempt or the Refuse.
+	ended map[CallID]Effect
+	// replaced counts the writes of records that the instance asked for.
+	replaced int
 }
 
 // fleetLink is one end of a link. lastHeard is when the path to the peer last worked.
@@ -116,15 +122,22 @@
 }
 
 func newStoreFleet(t *testing.T, n, engines int) *storeFleet {
-	f := &storeFleet{t: t, members: map[fleet.InstanceID]*fleetMember{}, received: map[fleet.InstanceID]int{}, plans: map[time.Duration]func(){}}
+	return newVersionedFleet(t, n, engines, "")
+}
+
+func newVersionedFleet(t *testing.T, n, engines int, version string) *storeFleet {
+	f := &storeFleet{t: t, members: map[fleet.InstanceID]*fleetMember{}, received: map[fleet.InstanceID]int{}, plans: map[time.Duration]func(){}, engineVersion: version}
 	f.store.put("config", "1")
 	for i := range engines {
-		f.store.put(fmt.Sprintf("engines/e%d", i), "ready")
+		f.store.put(fmt.Sprintf("engines/e%d", i), f.registration("ready"))
 	}
 	for i := range n {
 		id := fleet.InstanceID(fmt.Sprintf("i%03d", i))
 		f.ids = append(f.ids, id)
 		f.members[id] = &fleetMember{index: i}
+		if version != "" {
+			f.store.put(InstancePrefix+string(id), "{}")
+		}
 		f.start(id)
 	}
 	f.run(4 * time.Second)
@@ -137,7 +150,7 @@
 	m.incarnation++
 	m.s = &session{t: f.t, r: New(Config{Instance: id, Incarnation: m.incarnation, DataCentre: "dc", StoreDecoder: fakeDecoder{}})}
 	m.links, m.reader = map[fleet.InstanceID]*fleetLink{}, fleetReader{}
-	m.known, m.dark = 0, false
+	m.known, m.dark, m.ended = 0, false, map[CallID]Effect{}
 	f.linkSilent(id)
 }
 
@@ -209,7 +222,15 @@
 
 // heartbeat lets one engine write its registration again, without a change of its meaning.
 func (f *storeFleet) heartbeat() {
-	f.store.put("engines/e0", fmt.Sprintf("ready@n%d", f.now))
+	f.store.put("engines/e0", f.registration(fmt.Sprintf("ready@n%d", f.now)))
+}
+
+// registration returns the value of an engine with which the fleet starts.
+func (f *storeFleet) registration(state string) string {
+	if f.engineVersion != "" {
+		state += "#" + f.engineVersion
+	}
+	return state
 }
 
 func (f *storeFleet) connected(a, b fleet.InstanceID) bool {
@@ -292,6 +313,10 @@
 			m.reader.listed, m.reader.calling = false, false
 		case ConfigInForce:
 			m.known, m.knownAt = e.Table.Version, f.now
+		default:
+			if f.engineVersion != "" {
+				f.keepOrigins(id, m, e)
+			}
 		}
 	}
 }
--- a/internal/wire/gatewaymessages.go
+++ b/internal/wire/gatewaymessages.go
@@ -199,3 +199,29 @@
 	Trait fleet.Fingerprint
 	Ms    uint32
 }
+
+// StreamOrigins tells an instance that keeps copies which software version began some streams of a service.
+type StreamOrigins struct {
+	Service fleet.ServiceID     `cbor:"1,keyasint"`
+	Version fleet.EngineVersion `cbor:"2,keyasint"`
+	Streams []uint64            `cbor:"3,keyasint"`
+	// Write asks the receiver to write them to the store.
+	Write bool `cbor:"4,keyasint,omitempty"`
+}
+
+// StreamOriginRequest asks an instance for the origin of a stream.
+type StreamOriginRequest struct {
+	// ID is repeated in the reply.
+	ID     uint64 `cbor:"1,keyasint"`
+	Stream uint64 `cbor:"2,keyasint"`
+}
+
+// StreamOriginReply answers StreamOriginRequest. Service and Version are empty unless the origin is known.
+type StreamOriginReply struct {
+	ID      uint64              `cbor:"1,keyasint"`
+	Known   bool                `cbor:"2,keyasint,omitempty"`
+	Service fleet.ServiceID     `cbor:"3,keyasint,omitempty"`
+	Version fleet.EngineVersion `cbor:"4,keyasint,omitempty"`
+	// ReadStore reports whether the sender has looked for the origin in the store.
+	ReadStore bool `cbor:"5,keyasint,omitempty"`
+}
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -93,6 +93,15 @@
 // Kind implements Message.
 func (*StoreRead) Kind() Kind { return KindStoreRead }
 
+// Kind implements Message.
+func (*StreamOrigins) Kind() Kind { return KindStreamOrigins }
+
+// Kind implements Message.
+func (*StreamOriginRequest) Kind() Kind { return KindStreamOriginRequest }
+
+// Kind implements Message.
+func (*StreamOriginReply) Kind() Kind { return KindStreamOriginReply }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(kind Kind) Message {
 	switch kind {
@@ -158,6 +167,12 @@
 		return &EngineTokenRequest{}
 	case KindStoreRead:
 		return &StoreRead{}
+	case KindStreamOrigins:
+		return &StreamOrigins{}
+	case KindStreamOriginRequest:
+		return &StreamOriginRequest{}
+	case KindStreamOriginReply:
+		return &StreamOriginReply{}
 	}
 	return nil
 }
@@ -226,6 +241,12 @@
 		return "engine_token_reply"
 	case KindEngineTokenRequest:
 		return "engine_token_request"
+	case KindStreamOrigins:
+		return "stream_origins"
+	case KindStreamOriginRequest:
+		return "stream_origin_request"
+	case KindStreamOriginReply:
+		return "stream_origin_reply"
 	}
 	return "unknown"
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -12,37 +12,40 @@
 
 // Message kinds. 14 and 20 are reserved.
 const (
-	KindHello              Kind = 1
-	KindHeartbeat          Kind = 2
-	KindAdmit              Kind = 3
-	KindAdmitReply         Kind = 4
-	KindRelease            Kind = 5
-	KindRegister           Kind = 6
-	KindRegisterDone       Kind = 7
-	KindRateRequest        Kind = 8
-	KindRateGrant          Kind = 9
-	KindClaimRequest       Kind = 10
-	KindClaimReply         Kind = 11
-	KindClaimFinish        Kind = 12
-	KindStrike             Kind = 13
-	KindConfigRequest      Kind = 15
-	KindConfigManifest     Kind = 16
-	KindBlobRequest        Kind = 17
-	KindBlob               Kind = 18
-	KindEngineState        Kind = 19
-	KindStamp              Kind = 21
-	KindChatPlacement      Kind = 22
-	KindRegisterRequest    Kind = 23
-	KindStatusReport       Kind = 24
-	KindStoreFacts         Kind = 25
-	KindFactsRequest       Kind = 26
-	KindLoads              Kind = 27
-	KindCrashEvidence      Kind = 28
-	KindEngineLimits       Kind = 29
-	KindEngineTokenRequest Kind = 30
-	KindEngineTokenReply   Kind = 31
-	KindStoreRead          Kind = 32
-	KindEngineWarmUps      Kind = 33
+	KindHello               Kind = 1
+	KindHeartbeat           Kind = 2
+	KindAdmit               Kind = 3
+	KindAdmitReply          Kind = 4
+	KindRelease             Kind = 5
+	KindRegister            Kind = 6
+	KindRegisterDone        Kind = 7
+	KindRateRequest         Kind = 8
+	KindRateGrant           Kind = 9
+	KindClaimRequest        Kind = 10
+	KindClaimReply          Kind = 11
+	KindClaimFinish         Kind = 12
+	KindStrike              Kind = 13
+	KindConfigRequest       Kind = 15
+	KindConfigManifest      Kind = 16
+	KindBlobRequest         Kind = 17
+	KindBlob                Kind = 18
+	KindEngineState         Kind = 19
+	KindStamp               Kind = 21
+	KindChatPlacement       Kind = 22
+	KindRegisterRequest     Kind = 23
+	KindStatusReport        Kind = 24
+	KindStoreFacts          Kind = 25
+	KindFactsRequest        Kind = 26
+	KindLoads               Kind = 27
+	KindCrashEvidence       Kind = 28
+	KindEngineLimits        Kind = 29
+	KindEngineTokenRequest  Kind = 30
+	KindEngineTokenReply    Kind = 31
+	KindStoreRead           Kind = 32
+	KindEngineWarmUps       Kind = 33
+	KindStreamOrigins       Kind = 34
+	KindStreamOriginRequest Kind = 35
+	KindStreamOriginReply   Kind = 36
 )
 
 // Hello is the first message on a link, in both directions.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -26,6 +26,9 @@
 		&StatusReport{Sequence: 4, Running: []EngineCount{{Engine: 7, Count: 2}}, Prompts: []PromptLocation{{Prompt: 9, Engine: "e1"}}, LoadsInGrid: true},
 		&StatusReport{Sequence: 6, Running: []EngineCount{{Engine: 7, Count: 2}}, Unread: []byte{0, 3}},
 		&Loads{IsRowSum: true, Running: []EngineCount{{Engine: 1 << 31, Count: 300}}, Unread: []byte{0, 47}},
+		&StreamOrigins{Service: "s", Version: "v1", Streams: []uint64{1 << 63, 7}},
+		&StreamOriginRequest{ID: 7, Stream: 1 << 63},
+		&StreamOriginReply{ID: 7, Known: true, Service: "s", Version: "v1"},
 		&ChatPlacement{Chat: 7, First: "e1", Engine: "e2"},
 	}
 }
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -10,7 +10,7 @@
 const (
 	// ExcludedTried engines have had the request already.
 	ExcludedTried = "tried"
-	// ExcludedVersion engines run another version than the one that began the stream.
+	// ExcludedVersion engines run another version than the one that began the stream, or one at which none may begin yet.
 	ExcludedVersion = "version"
 	// ExcludedRecentlyPaused engines have not succeeded since their last pause, and the request can't be sent twice.
 	ExcludedRecentlyPaused = "recently_paused"
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,8 +33,9 @@
 	QuietUntil time.Duration
 	// Incarnation differs for each start of the engine; it is 0 if unknown.
 	Incarnation uint64
-	// Version is the version of the engine's software.
+	// Version is the version of the engine's software. Opening is set while no resumable stream may begin there.
 	Version fleet.EngineVersion
+	Opening bool
 }
 
 // Load is the load that an engine reports of itself, in requests.
@@ -108,7 +109,8 @@
 	TargetLeft time.Duration
 	// AvoidAsking leaves out engines whose rate limit another instance enforces.
 	AvoidAsking bool
-	// OnlyVersion is the version at which a stream that has begun must go on, or nil.
+	// Begins is set for a resumable stream. OnlyVersion is the version at which it must go on if it has begun, or nil.
+	Begins      bool
 	OnlyVersion *fleet.EngineVersion
 }
 
@@ -118,7 +120,10 @@
 }
 
 func (r *Request) permitsVersion(e *Engine) bool {
-	return r.OnlyVersion == nil || *r.OnlyVersion == e.Version
+	if r.OnlyVersion != nil {
+		return *r.OnlyVersion == e.Version
+	}
+	return !r.Begins || !e.Opening
 }
 
 // Tokens counts the tokens of a request. The zero value means that they are unknown.
--- a/placement/room.go
+++ b/placement/room.go
@@ -38,7 +38,7 @@
 	for _, m := range p.memberList {
 		load := p.latestLoad(now, m)
 		switch {
-		case !m.acceptsNew(now):
+		case !m.acceptsNew(now), m.Opening:
 			continue
 		case m.warming(now):
 			if p.usable(now, m, Request{}) && m.admitsLoad(load, 1) {
@@ -64,7 +64,7 @@
 // and is not cold.
 func (p *Pool) HasTurns(now time.Duration, id fleet.EngineID) bool {
 	m := p.members[id]
-	return m != nil && m.acceptsNew(now) && !m.warming(now)
+	return m != nil && m.acceptsNew(now) && !m.Opening && !m.warming(now)
 }
 
 // Home returns the first engine in the order of the request's cache key that may get the request, or empty.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -85,6 +85,10 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// ResumableStream reports whether another engine may go on with a response of the route, also for a caller that requests
+// the rest.
+func (r *Route) ResumableStream() bool { return r.Kind == Streaming && r.Resumable }
+
 // PickService returns the service of a request, by the weights of the route's shares. Requests with
 // equal keys get the same service, so that a conversation stays with the service that has cached it.
 func (r *Route) PickService(key uint64) fleet.ServiceID {
@@ -176,6 +180,7 @@
 	routesByHost   map[string]map[string]*Route
 	services       map[fleet.ServiceID]Service
 	customersByKey map[string]*Customer
+	streamTimeouts map[fleet.ServiceID]time.Duration
 }
 
 // Finding is a fault in a configuration. Path is that of the faulty field, such as routes[3].host.
@@ -197,6 +202,7 @@
 		routesByHost:   make(map[string]map[string]*Route),
 		services:       make(map[fleet.ServiceID]Service, len(c.Services)),
 		customersByKey: make(map[string]*Customer),
+		streamTimeouts: make(map[fleet.ServiceID]time.Duration),
 	}
 	var findings []Finding
 	for i, s := range c.Services {
@@ -227,6 +233,11 @@
 		t.routesByHost[r.Host] = prefixes
 	}
 	prefixes[r.Prefix] = r
+	for _, s := range r.Shares {
+		if r.ResumableStream() {
+			t.streamTimeouts[s.Service] = max(t.streamTimeouts[s.Service], r.Timeout)
+		}
+	}
 	return nil
 }
 
@@ -290,6 +301,12 @@
 	return ids
 }
 
+// StreamTimeout returns the longest timeout of a service's resumable streams, or false if it has none.
+func (t *Table) StreamTimeout(id fleet.ServiceID) (time.Duration, bool) {
+	timeout, ok := t.streamTimeouts[id]
+	return timeout, ok
+}
+
 // ShortestTarget returns the shortest target latency of the routes that use a service, or 0 if none has one.
 func (t *Table) ShortestTarget(service fleet.ServiceID) time.Duration {
 	var shortest time.Duration
--- a/versions/memory.go
+++ b/versions/memory.go
@@ -1,6 +1,7 @@
 package versions
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,6 +26,11 @@
 	Version fleet.EngineVersion
 }
 
+// Compare orders origins by service and version.
+func (o Origin) Compare(other Origin) int {
+	return cmp.Or(cmp.Compare(o.Service, other.Service), cmp.Compare(o.Version, other.Version))
+}
+
 // maxStreams bounds the origins that an instance remembers, in at most about 4 MB. At the planned peak an instance begins
 // 30 streams a second, and keeps copies for as many others twice.
 const maxStreams = 1 << 15
--- a/versions/open.go
+++ b/versions/open.go
@@ -37,7 +37,8 @@
 }
 
 // SetTimes sets how long a stream can stay open, and how long a version must be opening before it is usable.
-func (o *Open) SetTimes(life, settle time.Duration) { o.life, o.settle = life, settle }
+// The former never falls, because streams may be open that began when it was longer.
+func (o *Open) SetTimes(life, settle time.Duration) { o.life, o.settle = max(o.life, life), settle }
 
 // Recorded sets what is on record.
 func (o *Open) Recorded(now time.Duration, record Record) {
