router: origins of streams are not written while the store can't be read

With one version, origins are kept only while an instance's copy of the store is not current, so that they outlast the instance. The first keeper tried to write them ten times a second and failed, as the store is away: calls that are charged and serve nobody. They stay in the keepers' memory now. TestOneVersionWhileTheStoreAndAnInstanceAreDown asks for it and failed before.

--- a/internal/router/explain_test.go
+++ b/internal/router/explain_test.go
@@ -259,7 +259,7 @@
 	"loads.rowPaces": true, "members.firstPlanned": true, "members.linked": true, "notices": true, "poison.detector.announceAt": true,
 	"poison.detector.answers.current": true, "poison.detector.crashes": true, "poison.storing.nextTry": true, "poison.storing.stored": true,
 	"poison.suspects": true, "pools[].engines.ranking": true, "registry": true, "relays.announced": true, "relays.packed": true,
-	"relays.plannedTrees": true, "streams.keeping.keepers": true, "streams.keeping.unwritten": true, "streams.memory": true, "streams.open": true, "streams.several": true, "relays.treeStartedAt": true, "replica": true, "table": true, "warmUps.shares": true, "warmUps.tracker": true,
+	"relays.plannedTrees": true, "streams.keeping.keepers": true, "streams.keeping.unwritten": true, "streams.memory": true, "streams.open": true, "streams.keeps": true, "relays.treeStartedAt": true, "replica": true, "table": true, "warmUps.shares": true, "warmUps.tracker": true,
 	"warmUps.view.ids": true, "warmUps.view.seeds": true,
 }
 
--- a/internal/router/openversions.go
+++ b/internal/router/openversions.go
@@ -139,10 +139,10 @@
 // begun at a second version, or this instance would not know.
 func (r *Router) versionsChanged(service fleet.ServiceID, o *openVersions) {
 	keeps := o.Several(r.now) || r.now-r.store.currentAt > r.readSilenceLimit()
-	if keeps && !r.streams.several[service] {
+	if keeps && !r.streams.keeps[service] {
 		r.copyAllOrigins(service)
 	}
-	r.streams.several[service] = keeps
+	r.streams.keeps[service] = keeps
 }
 
 // tickOpenVersions writes the records of versions that are to change.
@@ -205,7 +205,7 @@
 		case configured || len(r.registry.Service(service)) > 0:
 		case r.heldRevision(versionsKey(service)) == 0:
 			delete(r.streams.open, service)
-			delete(r.streams.several, service)
+			delete(r.streams.keeps, service)
 		case r.store.rank == 0 && r.now >= o.nextWrite:
 			o.nextWrite = r.now + versionsRetryInterval
 			r.emit(RemoveKey{Key: versionsKey(service)})
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -11,7 +11,7 @@
 	"github.com/bilberrywell/bilberrywell/versions"
 )
 
-// While streams of a service may have begun at several versions, each instance tells the keepers of a stream's partition
+// While streams of a service may have begun at several versions, or it isn't known, each instance tells the keepers of a stream's partition
 // which version began it. The first keeper writes what it is told to the store, many streams at a time, and a keeper that
 // doesn't know a stream reads its partition there. So no origin is lost with one instance, and few with all.
 
@@ -117,11 +117,10 @@
 	return rank
 }
 
-// keepOrigin remembers the origin of a stream that this instance serves, and has it kept if streams of the service may
-// have begun at several versions.
+// keepOrigin remembers the origin of a stream that this instance serves, and has it kept if that is needed.
 func (r *Router) keepOrigin(key versions.StreamKey, origin versions.Origin) {
 	r.streams.memory.Record(r.now, key, origin, true)
-	if key != 0 && r.streams.several[origin.Service] {
+	if key != 0 && r.streams.keeps[origin.Service] {
 		r.copyOrigins(origin, []versions.StreamKey{key})
 	}
 }
@@ -136,6 +135,8 @@
 
 // copyOrigins tells the keepers the origin of some streams.
 func (r *Router) copyOrigins(origin versions.Origin, streams []versions.StreamKey) {
+	// While origins are kept because the store can't be read, it can't be written either.
+	written := r.openOf(origin.Service).Several(r.now)
 	var partitions [versions.Partitions][]uint64
 	for _, key := range streams {
 		p := versions.PartitionOf(key)
@@ -150,9 +151,9 @@
 			switch {
 			case keeper != r.cfg.Instance:
 				for batch := range slices.Chunk(keys, maxOriginsPerMessage) {
-					r.emit(SendMessage{To: keeper, Message: &wire.StreamOrigins{Service: origin.Service, Version: origin.Version, Streams: batch, Write: rank == 0}})
+					r.emit(SendMessage{To: keeper, Message: &wire.StreamOrigins{Service: origin.Service, Version: origin.Version, Streams: batch, Write: written && rank == 0}})
 				}
-			case rank == 0:
+			case written && rank == 0:
 				r.writeLater(origin, keys)
 			}
 		}
--- a/internal/router/streams.go
+++ b/internal/router/streams.go
@@ -22,9 +22,9 @@
 // streamState holds what this instance knows of the origins of streams.
 type streamState struct {
 	memory *versions.Memory
-	// open holds the versions of each service, several which of the services have more than one.
-	open    map[fleet.ServiceID]*openVersions
-	several map[fleet.ServiceID]bool
+	// open holds the versions of each service, keeps of which services other instances keep the origins.
+	open  map[fleet.ServiceID]*openVersions
+	keeps map[fleet.ServiceID]bool
 	// tickedAt is the time of the last tick, resumedAt that of the last one after suspensionTime without any, or never.
 	tickedAt, resumedAt time.Duration
 	// pending holds the requests for the rest of a stream that wait for instances that keep origins.
@@ -51,7 +51,7 @@
 func (s *streamState) init() {
 	s.memory = versions.NewMemory(minOriginLife)
 	s.open = make(map[fleet.ServiceID]*openVersions)
-	s.several = make(map[fleet.ServiceID]bool)
+	s.keeps = make(map[fleet.ServiceID]bool)
 	s.resumedAt = never
 	s.pending = make(map[uint64]*pendingOrigin)
 	s.keeping.init()
--- a/internal/router/streamsoutage_test.go
+++ b/internal/router/streamsoutage_test.go
@@ -23,6 +23,10 @@
 	f.members[f.ids[4]].dark = true
 	f.run(6 * time.Second)
 	require.Equal(t, "v1", f.takeUp(f.ids[1], attempt))
+	for _, id := range f.ids {
+		require.Empty(t, f.members[id].s.r.streams.keeping.unwritten, "the store can't be written")
+		require.Nil(t, f.members[id].s.r.streams.keeping.written)
+	}
 }
 
 // Guards against the same with all instances up.
@@ -135,7 +139,7 @@
 	require.Zero(t, joined)
 }
 
-// Guards against a record that can't be written any more: its revision is that it has after the store was restored, also if its value is the same.
+// Guards against a record that can't be written any more after a restore of the store, which changes its revision and not its value.
 func TestRecordIsWrittenAfterARestore(t *testing.T) {
 	value := []byte(`{"usable":["v1"]}`)
 	s := newSessionInEra(t, "i1", fact(1, "config", "1"), fact(5, "engines/e0", "ready#v1"), fact(6, versionsKey("s"), string(value)))
