--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -85,6 +85,8 @@
 		"another version of the engines' software has begun the stream": func(c *callerRequest, silent, beside *attempt) {
 			silent.cmd.Engine.Version, beside.cmd.Engine.Version = "v1", "v2"
 			require.True(t, silent.goOn(responseBegun))
+			// The other attempt is sent only now, for a choice that was made before.
+			beside.state.value.Store(0)
 			c.beside = beside
 			c.mediaType = "text/event-stream"
 			c.headerWritten.Store(true)
