router: a few old engines don't get the load of a service whose engines are replaced at once

Versions that are not usable are now used where fewer than half of the engines in service have a usable one.

TestMostEnginesAreReplacedAtOnce failed before.

--- a/internal/router/openversions.go
+++ b/internal/router/openversions.go
@@ -107,28 +107,35 @@
 }
 
 // openingVersions returns the versions of a service's engines at which no stream may begin yet: others serve, and no instance
-// may take those for the only ones when streams begin at them.
+// may take those for the only ones when streams begin at them. Where most engines are replaced at once, the rest could not
+// bear the load.
 func (r *Router) openingVersions(service fleet.ServiceID, engines []registry.Engine) map[fleet.EngineVersion]bool {
 	if _, resumable := r.table.StreamTimeout(service); !resumable {
 		return nil
 	}
 	o := r.openOf(service)
 	registered := make(map[fleet.EngineVersion]bool)
-	inService := make(map[fleet.EngineVersion]bool)
+	inService := make(map[fleet.EngineVersion]int)
+	all := 0
 	for _, e := range engines {
 		registered[e.Version] = true
-		inService[e.Version] = inService[e.Version] || !e.Draining && !r.notices.Leaving(runOf(e)) && !r.evacuated(e.DataCentre)
+		if !e.Draining && !r.notices.Leaving(runOf(e)) && !r.evacuated(e.DataCentre) {
+			inService[e.Version]++
+			all++
+		}
 	}
 	o.Registered(r.now, registered)
 	r.versionsChanged(service, o)
 	for _, preferred := range []func(fleet.EngineVersion) bool{o.Usable, o.Listed} {
 		opening := make(map[fleet.EngineVersion]bool)
-		serves := false
+		serving := 0
 		for v := range registered {
 			opening[v] = !preferred(v)
-			serves = serves || preferred(v) && inService[v]
+			if preferred(v) {
+				serving += inService[v]
+			}
 		}
-		if serves {
+		if serving > 0 && 2*serving >= all {
 			return opening
 		}
 	}
--- a/internal/router/streamsopen_test.go
+++ b/internal/router/streamsopen_test.go
@@ -114,3 +114,24 @@
 	_, early := s.r.openOf("s").Wanted(s.now + s.r.readSilenceLimit() - time.Millisecond)
 	require.False(t, early)
 }
+
+// Guards against a few engines of the old version that get the whole load while most were replaced at once.
+func TestMostEnginesAreReplacedAtOnce(t *testing.T) {
+	s := newVersionedSession(t, "v1", "v1", "v1", "v1")
+	facts := []replica.Fact{{Key: versionsKey("s"), Revision: 301, Value: []byte(`{"usable":["v1"],"opening":["v2"]}`)}}
+	for i := range 4 {
+		facts = append(facts, replica.Fact{Key: fmt.Sprintf("engines/n%d", i), Revision: uint64(302 + i), Value: []byte("ready#v2")})
+	}
+	began := func() map[fleet.EngineVersion]int {
+		count := make(map[fleet.EngineVersion]int)
+		for range 80 {
+			count[s.call("/chat/x").Engine.Version]++
+			s.endAttempt(CallerLeft)
+		}
+		return count
+	}
+	s.step(KeysChanged{Facts: facts, AtRevision: 310})
+	require.Zero(t, began()["v2"])
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: "engines/e0", Revision: 311, Value: []byte("draining#v1")}}, AtRevision: 311})
+	require.NotZero(t, began()["v2"])
+}
