router: a record of versions that can't be read is not taken for none

An instance that started while the record of a service's versions could not be decoded took the version that was registered for the only one at which streams had begun, though the record may have held others. It now knows that there is a record, and asks the keepers until it is written again. Found by reading; nobody else writes that key.

TestUnreadableRecordIsNotTakenForNone failed before.

--- a/internal/router/openversions.go
+++ b/internal/router/openversions.go
@@ -224,7 +224,8 @@
 // isn't known.
 func (r *Router) onlyVersion(service fleet.ServiceID) (fleet.EngineVersion, bool) {
 	o := r.streams.open[service]
-	if o == nil || !o.HasRecord() && !r.store.listed || !r.versionsCurrent() {
+	unrecorded := r.store.listed && r.heldRevision(versionsKey(service)) == 0
+	if o == nil || !o.HasRecord() && !unrecorded || !r.versionsCurrent() {
 		return "", false
 	}
 	return o.Only(r.now)
--- a/internal/router/streamsopen_test.go
+++ b/internal/router/streamsopen_test.go
@@ -135,3 +135,18 @@
 	s.step(KeysChanged{Facts: []replica.Fact{{Key: "engines/e0", Revision: 311, Value: []byte("draining#v1")}}, AtRevision: 311})
 	require.NotZero(t, began()["v2"])
 }
+
+// Guards against an instance that starts while the record can't be read, takes it for none, and the version that is
+// registered for the only one.
+func TestUnreadableRecordIsNotTakenForNone(t *testing.T) {
+	for value, known := range map[string]bool{"no record": false, `{"usable":["v1"]}`: true} {
+		s := newSession(t, 0)
+		s.step(KeysListed{Facts: []replica.Fact{
+			{Key: "config", Revision: 201, Value: []byte("1")}, {Key: "engines/e0", Revision: 202, Value: []byte("ready#v1")},
+			{Key: versionsKey("s"), Revision: 203, Value: []byte(value)},
+		}, AtRevision: 210})
+		s.takeUp(7)
+		_, sent := find[Send](s)
+		require.Equal(t, known, sent, value)
+	}
+}
