gateway: a header alone does not end the silent attempt

Callers got a part of a stream and no end, or a 502, although the engine that served them was sound and only silent for a moment. The attempt beside it took its place with the header of its response. If that engine then fell silent, broke off before or in its first event, or ended its body early, both attempts were over and no further one was allowed.

The attempt beside the silent one now reads its response up to the first event, or, where responses are held until they are complete, to the end, and only then takes the other one's place. Until then the silent engine's next event wins, and a failure ends only the attempt beside it.

TestSilentStreamIsNotCutWhenItsReplacementIsRejected expected the cut in its case "silent after its header"; it now expects the whole stream. This case and four new ones failed before, and so did the three cases of TestSilentRequestIsAnsweredWhenItsReplacementBreaksOff (502 for 200).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,8 @@
 	// resumeAfter is the id of the event after which the engine is to go on with the stream, or empty.
 	resumeAfter string
 	exchange    *upstream.Exchange
+	// responseBody is the body of the response, of which a part may have been read.
+	responseBody io.Reader
 	// engineConn carries the exchange. The stall watch looks at it.
 	engineConn   atomic.Pointer[upstream.Conn]
 	responseHead ResponseHead
@@ -115,6 +117,7 @@
 		a.fail(outcome, err)
 		return false
 	}
+	a.responseBody = a.exchange
 	a.result.FirstByte = a.g.now() - a.sentAt
 	report := a.engineReport()
 	a.result.Report = &report
@@ -207,12 +210,11 @@
 		a.fail(router.Broken, err)
 		return
 	}
-	success := a.exchange.Response.StatusCode < 300
-	if success {
+	if a.exchange.Response.StatusCode < 300 {
 		a.heard()
 	}
 	switch {
-	case success && a.cmd.Route.Kind == routing.Streaming:
+	case a.isStream():
 		a.g.step(router.ResponseStarted{Call: a.id, Report: *a.result.Report})
 		a.forwardStream()
 	default:
@@ -220,6 +222,11 @@
 	}
 }
 
+// isStream reports whether the events of the response are forwarded as they arrive.
+func (a *attempt) isStream() bool {
+	return a.exchange.Response.StatusCode < 300 && a.cmd.Route.Kind == routing.Streaming
+}
+
 // unusable returns why a response can't be forwarded, or nil.
 func (a *attempt) unusable() error {
 	switch {
@@ -263,15 +270,14 @@
 
 // forwardWhole reads a response into memory, and forwards it once it is complete.
 func (a *attempt) forwardWhole() {
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxHeldBytes+1))
+	body, err := io.ReadAll(io.LimitReader(a.responseBody, maxHeldBytes+1))
 	if err != nil {
 		a.fail(router.Broken, err)
 		return
 	}
 	held := &heldResponse{status: a.exchange.Response.StatusCode, header: a.exchange.Response.Header, body: body}
 	switch {
-	case len(body) == 0 && held.status < 300 && a.exchange.EndsWithConnection() && a.r.Method != http.MethodHead:
-		// Without a byte of the body the end of the connection can't be told from a break.
+	case a.endsWithoutBody(len(body)):
 		a.fail(router.Broken, errNoBody)
 		return
 	case len(body) > maxHeldBytes && held.status >= 300:
@@ -297,6 +303,12 @@
 	a.writeHeld(held)
 }
 
+// endsWithoutBody reports whether a successful response of n bytes has ended with its connection before its first byte:
+// that can't be told from a break.
+func (a *attempt) endsWithoutBody(n int) bool {
+	return n == 0 && a.exchange.Response.StatusCode < 300 && a.exchange.EndsWithConnection() && a.r.Method != http.MethodHead
+}
+
 // forwardLarge forwards a response that is too large to be held, beginning with the part already read.
 func (a *attempt) forwardLarge(held *heldResponse) {
 	// No other engine can replace the response from here on.
@@ -307,7 +319,7 @@
 	buffer := make([]byte, copyBufferBytes)
 	unsized := a.exchange.Response.ContentLength < 0
 	for total := len(held.body); ; {
-		n, err := a.exchange.Read(buffer)
+		n, err := a.responseBody.Read(buffer)
 		if total += n; unsized && total > maxUnsizedBytes {
 			a.fail(router.Broken, errLargeBody)
 			return
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
+	"io"
 
 	"github.com/bilberrywell/bilberrywell/internal/router"
 )
@@ -29,7 +31,8 @@
 	go a.runBeside()
 }
 
-// runBeside sends the request and passes the attempt to the request's goroutine once its engine has begun to respond.
+// runBeside sends the request and passes the attempt to the request's goroutine once there is a part of its response to
+// forward.
 func (a *attempt) runBeside() {
 	if a.open() && a.beginsBeside() {
 		select {
@@ -71,6 +74,10 @@
 		a.result.Outcome, a.result.Discarded = router.Errored, true
 		return false
 	}
+	if err := a.receiveStart(); err != nil {
+		a.fail(router.Broken, err)
+		return false
+	}
 	if !a.takeOver() {
 		a.fail(router.Superseded, errSuperseded)
 		return false
@@ -78,6 +85,34 @@
 	return true
 }
 
+// receiveStart reads the response up to what is forwarded first: an event of a stream, or all that is held of another
+// response. One that breaks off before that does not end the silent attempt.
+func (a *attempt) receiveStart() error {
+	var start []byte
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := a.exchange.Read(buffer)
+		start = append(start, buffer[:n]...)
+		a.responseBody = io.MultiReader(bytes.NewReader(start), a.exchange)
+		switch {
+		case a.isStream() && lastEventEnd(start) > 0, !a.isStream() && len(start) > maxHeldBytes:
+			return nil
+		case err == io.EOF && a.isStream() && len(start) > 0:
+			return errTruncatedEvent
+		case err == io.EOF && a.isStream() && a.exchange.EndsWithConnection():
+			return errNoEvent
+		case err == io.EOF && a.endsWithoutBody(len(start)):
+			return errNoBody
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		case a.isStream() && len(start) > maxEventBytes:
+			return errLargeEvent
+		}
+	}
+}
+
 // isBeside reports whether the attempt before is still under way.
 func (a *attempt) isBeside() bool {
 	a.turn.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,7 +29,7 @@
 	var pace eventPace
 	defer func() { a.result.EventGap = pace.meanGap() }()
 	for {
-		n, err := a.exchange.Read(buffer)
+		n, err := a.responseBody.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if end := lastEventEnd(pending); end > 0 {
 			a.stallWatch.reset(a.cmd.GapTimeout)
