router: the first engine keeps a request until another one has begun

With three attempts allowed and two engines silent, the older attempt was ended so that a third engine could be tried. A stream of which the caller had a part was then left with an engine that had not begun; if that one broke off and the third rejected the request, the stream was cut although its engine would have gone on.

The younger attempt, which has delivered nothing, now makes room for the third engine. The older one ends only when another one has begun.

TestThirdEngineReplacesTheOlderOfTwoSilentAttempts required the end of the older attempt, which is the fault; it is replaced by TestThirdEngineReplacesTheYoungerOfTwoSilentAttempts, which checks the same and that the first attempt outlasts the failures of the others. It failed before. The model of TestEachRequestEndsOnce now requires the same.

--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -194,12 +194,12 @@
 	}
 }
 
-// endStalled ends the attempt at a silent engine.
+// endStalled ends the attempt beside the silent one, unless it has taken that one's place.
 func (c *callerRequest) endStalled(e router.EndStalledAttempt) {
 	c.turn.Lock()
 	defer c.turn.Unlock()
-	if c.current != nil && c.current.cmd.Engine.ID == e.Engine {
-		c.current.end(router.Stalled)
+	if c.beside != nil && c.beside.cmd.Engine.ID == e.Engine {
+		c.beside.end(router.Stalled)
 	}
 }
 
--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -131,15 +131,17 @@
 	c.mediaType = "text/event-stream"
 	c.beside = beside
 	beside.exchange = &upstream.Exchange{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}}}
-	c.endStalled(router.EndStalledAttempt{Engine: "beside"})
-	require.Zero(t, endedAs(silent))
+	c.endStalled(router.EndStalledAttempt{Engine: "silent"})
+	require.Zero(t, endedAs(silent), "only the attempt beside it ends")
 	silent.result.Outcome = router.Broken
 	silent.finish()
 	require.True(t, beside.takeOver())
 	c.interrupt()
 	require.Zero(t, endedAs(beside), "a part was delivered")
-	c.endStalled(router.EndStalledAttempt{Engine: "silent"})
-	require.Zero(t, endedAs(beside))
 	c.endStalled(router.EndStalledAttempt{Engine: "beside"})
-	require.Equal(t, router.Stalled, endedAs(beside))
+	require.Zero(t, endedAs(beside), "it has taken the other one's place")
+	_, _, third := pair()
+	third.callerRequest, c.beside = c, third
+	c.endStalled(router.EndStalledAttempt{Engine: "beside"})
+	require.Equal(t, router.Stalled, endedAs(third))
 }
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -50,8 +50,8 @@
 	ReportFirstEvent bool
 }
 
-// EndStalledAttempt ends the older one of two silent attempts of a request as Stalled, because a third engine can take
-// it, unless the other one has begun to respond.
+// EndStalledAttempt ends the younger one of two silent attempts of a request as Stalled, because a third engine can take
+// its place, unless it has begun to respond.
 type EndStalledAttempt struct {
 	Call   CallID
 	Engine fleet.EngineID
--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -102,8 +102,8 @@
 		case EndStalledAttempt:
 			q := e.requests[effect.Call]
 			require.Len(e.t, q.attempts, 2, "a stalled attempt ends only for another one")
-			require.Equal(e.t, effect.Engine, q.attempts[0].engine)
-			q.attempts[0].end(Stalled)
+			require.Equal(e.t, effect.Engine, q.attempts[1].engine)
+			q.attempts[1].end(Stalled)
 		case Command:
 			q := e.requests[effect.Target()]
 			require.NotNil(e.t, q, "a second final command")
--- a/internal/router/stalls.go
+++ b/internal/router/stalls.go
@@ -58,8 +58,8 @@
 	switch {
 	case !ok:
 	case beside:
-		// At most two attempts run at once. The next report about the engine finds another one for it.
-		r.emit(EndStalledAttempt{Call: c.ID, Engine: c.engine})
+		// At most two attempts run at once. The next report about the older one finds the third engine.
+		r.emit(EndStalledAttempt{Call: c.ID, Engine: c.beside.engine})
 	case choice.Owner != "":
 		r.askToken(c, choice, c.engine)
 	default:
--- a/internal/router/stalls_test.go
+++ b/internal/router/stalls_test.go
@@ -323,9 +323,9 @@
 	}
 }
 
-// Guards against a request that stays at two silent engines although a third one can take it, and against three attempts
-// at once.
-func TestThirdEngineReplacesTheOlderOfTwoSilentAttempts(t *testing.T) {
+// Guards against a request that stays at two silent engines although a third one can take it, against three attempts at
+// once, and against a stream that is cut because its engine was ended before another one had begun.
+func TestThirdEngineReplacesTheYoungerOfTwoSilentAttempts(t *testing.T) {
 	s := newSession(t, 4)
 	s.r.table.Lookup("h", "/get/x").MaxAttempts = 3
 	first := s.call("/get/x")
@@ -333,14 +333,28 @@
 	s.step(AttemptStalled{Call: s.last, Engine: first.Engine.ID})
 	require.Empty(t, s.out, "the older one is known to be silent")
 	s.step(AttemptStalled{Call: s.last, Engine: second.Engine.ID})
-	require.Equal(t, EndStalledAttempt{Call: s.last, Engine: first.Engine.ID}, must[EndStalledAttempt](s))
+	require.Equal(t, EndStalledAttempt{Call: s.last, Engine: second.Engine.ID}, must[EndStalledAttempt](s))
 	_, sent := find[Send](s)
 	require.False(t, sent)
-	s.step(AttemptEnded{Call: s.last, Engine: first.Engine.ID, Outcome: Stalled})
-	third := s.stall(second.Engine.ID, false)
+	s.step(AttemptEnded{Call: s.last, Engine: second.Engine.ID, Outcome: Stalled})
+	require.Empty(t, commands(s), "the older one goes on")
+	third := s.stall(first.Engine.ID, false)
 	require.NotContains(t, []fleet.EngineID{first.Engine.ID, second.Engine.ID}, third.Engine.ID)
 	s.step(AttemptStalled{Call: s.last, Engine: third.Engine.ID})
 	require.Empty(t, s.out, "no further attempt is allowed")
+	s.step(AttemptEnded{Call: s.last, Engine: third.Engine.ID, Outcome: Broken})
+	require.Empty(t, commands(s), "the first engine may still go on")
+}
+
+// commands returns the commands of the last step.
+func commands(s *session) []Command {
+	var list []Command
+	for _, e := range s.out {
+		if command, ok := e.(Command); ok {
+			list = append(list, command)
+		}
+	}
+	return list
 }
 
 // Guards against a failure response that is delivered although it was discarded, and against one that was held back and
