router: another instance confirms that there is one version only

Where most engines of a service are replaced at once, streams begin at the new version before it is on record. An instance that was cut off or suspended at that moment took its copy of the store for current for another 1.4 s, and the old version for the only one: it joined the rest of streams of the new version to engines of the old one.

An instance that knows one version only now asks the keepers of the stream whether they know another one or the stream's origin, and after 0.1 s without an answer further instances. One that has no link reads the store instead. A suspension is noticed from 0.25 s on, not 0.5 s; for half a second after it a request waits for news instead of being refused.

TestLaggingInstanceJoinsNoVersions failed before in its four cases: an instance, and all but one, cut off or suspended for 0.05 to 2 s.

--- a/internal/router/openversions.go
+++ b/internal/router/openversions.go
@@ -33,8 +33,10 @@
 	versionsTurn          = time.Second
 	// suspensionTime is the time without a tick after which the process was suspended or short of processor time. What it
 	// then reads within lateReadTime may have been sent before.
-	suspensionTime = 500 * time.Millisecond
+	suspensionTime = 250 * time.Millisecond
 	lateReadTime   = 100 * time.Millisecond
+	// resumptionTime is the time within which an instance that goes on after a suspension has read the store again.
+	resumptionTime = 500 * time.Millisecond
 )
 
 // openVersions is what an instance knows of the versions of one service.
@@ -247,6 +249,9 @@
 	return true
 }
 
+// resumedRecently reports whether this instance may only lack news because it was suspended until just now.
+func (r *Router) resumedRecently() bool { return r.now-r.streams.resumedAt < resumptionTime }
+
 // noticeSuspension records that this instance was suspended or short of processor time.
 func (r *Router) noticeSuspension() {
 	if r.now-r.streams.tickedAt >= suspensionTime {
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -108,13 +108,10 @@
 	return k.keepers[p]
 }
 
-// keeperRank returns the position of this instance among the keepers of a partition, or -1 if it is none.
-func (r *Router) keeperRank(p versions.Partition) int {
+// keepsPartition reports whether this instance keeps the origins of a partition.
+func (r *Router) keepsPartition(p versions.Partition) bool {
 	rank := slices.Index(r.keepers(p), r.cfg.Instance)
-	if rank >= versions.Copies {
-		return -1
-	}
-	return rank
+	return rank >= 0 && rank < versions.Copies
 }
 
 // keepOrigin remembers the origin of a stream that this instance serves, and has it kept if that is needed.
@@ -264,8 +261,15 @@
 	stream := versions.StreamKey(m.Stream)
 	question := originQuestion{from: from, id: m.ID, stream: stream}
 	p := versions.PartitionOf(stream)
-	_, known := r.streams.memory.Lookup(r.now, stream)
-	if !known && r.keeperRank(p) >= 0 {
+	if _, known := r.streams.memory.Lookup(r.now, stream); known {
+		r.answerOrigin(question, false)
+		return
+	}
+	if version, only := r.onlyVersion(m.Service); m.Service != "" && only && version == m.Version {
+		r.emit(SendMessage{To: from, Message: &wire.StreamOriginReply{ID: m.ID, Confirmed: true}})
+		return
+	}
+	if r.keepsPartition(p) {
 		r.loadOrigins(p, question)
 		return
 	}
@@ -277,14 +281,14 @@
 func (r *Router) answerOrigin(q originQuestion, readStore bool) {
 	origin, known := r.streams.memory.Lookup(r.now, q.stream)
 	if q.from == "" {
-		r.originAnswered(q.own, originAnswer{origin, known, readStore})
+		r.originAnswered(q.own, originAnswer{origin: origin, known: known, readStore: readStore})
 		return
 	}
 	r.emit(SendMessage{To: q.from, Message: &wire.StreamOriginReply{ID: q.id, Known: known, ReadStore: readStore, Service: origin.Service, Version: origin.Version}})
 }
 
 func (r *Router) originReplied(m *wire.StreamOriginReply) {
-	r.originAnswered(m.ID, originAnswer{versions.Origin{Service: m.Service, Version: m.Version}, m.Known, m.ReadStore})
+	r.originAnswered(m.ID, originAnswer{origin: versions.Origin{Service: m.Service, Version: m.Version}, known: m.Known, confirmed: m.Confirmed, readStore: m.ReadStore})
 }
 
 // loadOrigins answers a question when the partition has been read from the store.
--- a/internal/router/scratch.go
+++ b/internal/router/scratch.go
@@ -46,7 +46,7 @@
 	s.poison.detector = r.poison.detector.CloneForCheck()
 	s.tokens.pending = maps.Clone(r.tokens.pending)
 	s.delayed.pending = maps.Clone(r.delayed.pending)
-	s.streams.pending = maps.Clone(r.streams.pending)
+	s.streams.searches = maps.Clone(r.streams.searches)
 	s.streams.keeping.loads = make(map[versions.Partition]*originLoad)
 	return &s
 }
--- a/internal/router/streams_test.go
+++ b/internal/router/streams_test.go
@@ -188,7 +188,7 @@
 				require.Equal(t, "stream_version_unknown", refuse.Code)
 				require.Equal(t, NotRun, refuse.Refusal)
 				require.Equal(t, c.retry, refuse.RetryAfter)
-				require.Empty(t, s.r.streams.pending)
+				require.Empty(t, s.r.streams.searches)
 			}
 		})
 	}
--- a/internal/wire/gatewaymessages.go
+++ b/internal/wire/gatewaymessages.go
@@ -209,11 +209,14 @@
 	Write bool `cbor:"4,keyasint,omitempty"`
 }
 
-// StreamOriginRequest asks an instance for the origin of a stream.
+// StreamOriginRequest asks an instance for the origin of a stream. Service and Version are those of the only version at which
+// streams of the service are open as far as the sender knows, for the receiver to confirm; empty if it knows several.
 type StreamOriginRequest struct {
 	// ID is repeated in the reply.
-	ID     uint64 `cbor:"1,keyasint"`
-	Stream uint64 `cbor:"2,keyasint"`
+	ID      uint64              `cbor:"1,keyasint"`
+	Stream  uint64              `cbor:"2,keyasint"`
+	Service fleet.ServiceID     `cbor:"3,keyasint,omitempty"`
+	Version fleet.EngineVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // StreamOriginReply answers StreamOriginRequest. Service and Version are empty unless the origin is known.
@@ -224,4 +227,6 @@
 	Version fleet.EngineVersion `cbor:"4,keyasint,omitempty"`
 	// ReadStore reports whether the sender has looked for the origin in the store.
 	ReadStore bool `cbor:"5,keyasint,omitempty"`
+	// Confirmed reports whether the version of the request is the only one that the sender knows, too.
+	Confirmed bool `cbor:"6,keyasint,omitempty"`
 }
