gateway: the clock counts the time for which the machine was suspended

The monotonic clock stands still while a machine is suspended. After it, an instance took its copy of the store to be as recent as before, found its only version in it, and could join the rest of streams that had begun at another version meanwhile.

The gateway's clock adds the difference between the kernel's time since boot and the monotonic time. It is read at each tick and before the rest of a stream is searched for, and a suspension is logged.

--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -106,7 +106,7 @@
 // began, or that goes on with another type.
 func TestAttemptBesideAStreamThatBegins(t *testing.T) {
 	c, silent, _ := pair()
-	c.g, c.r = &Gateway{start: time.Now()}, httptest.NewRequest(http.MethodPost, "/", nil)
+	c.g, c.r = &Gateway{clock: newClock(sinceBoot)}, httptest.NewRequest(http.MethodPost, "/", nil)
 	c.lastEvent = "b"
 	require.True(t, silent.goOn(responseBegun))
 	beside := c.newAttempt(router.Send{Beside: true, Deadline: time.Hour})
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -137,7 +137,7 @@
 
 // Guards against requests without an answer of which no line tells that their handler panicked.
 func TestPanicOfAHandlerIsCounted(t *testing.T) {
-	g := &Gateway{protocol: brokenProtocol{}, metrics: newMetrics()}
+	g := &Gateway{protocol: brokenProtocol{}, metrics: newMetrics(), clock: newClock(sinceBoot)}
 	r := httptest.NewRequest("GET", "/x", nil)
 	r.Header.Set("Broken", "1")
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { g.serveCall(httptest.NewRecorder(), r) })
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -85,6 +85,10 @@
 	defer c.releaseBody()
 	c.id = id
 	if !c.headerTooLarge() && c.readBody() {
+		if c.lastEvent != "" {
+			// The version of the rest of a stream depends on how old this instance's copy of the store is.
+			g.clock.noticeSuspension()
+		}
 		g.step(router.CallArrived{Call: callOf(id, c.callHead, r.Host, r.Method, c.target, c.body, arrived)})
 		c.executeAll(commands)
 	}
@@ -346,7 +350,7 @@
 // callContext returns a context that ends at until, the request's deadline, or when its caller
 // disconnects.
 func (c *callerRequest) callContext(until time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(c.r.Context(), c.g.start.Add(until))
+	return context.WithDeadline(c.r.Context(), c.g.clock.at(until))
 }
 
 // callerDisconnected reports whether the caller has closed its connection.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	protocol    Protocol
 	store       platform.Keyspace
 	incarnation uint64
-	start       time.Time
+	clock       *clock
 	ctx         context.Context
 	cancel      context.CancelFunc
 	tasks       conc.WaitGroup
@@ -115,7 +115,7 @@
 		protocol:    o.Protocol,
 		store:       o.Store,
 		incarnation: uint64(time.Now().UnixNano()),
-		start:       time.Now(),
+		clock:       newClock(sinceBoot),
 		engineConns: upstream.NewPool(nil),
 		events:      make(chan router.Event, eventQueueSize),
 		metrics:     newMetrics(),
@@ -150,8 +150,8 @@
 	}
 }
 
-// now returns the time since the gateway was created, by the monotonic clock.
-func (g *Gateway) now() time.Duration { return time.Since(g.start) }
+// now returns the time since the gateway was created.
+func (g *Gateway) now() time.Duration { return g.clock.now() }
 
 // step passes an event to the router and executes its effects.
 func (g *Gateway) step(ev router.Event) { g.stepIf(func() bool { return true }, ev) }
@@ -341,6 +341,7 @@
 		case ev := <-g.events:
 			g.step(ev)
 		case <-ticker.C:
+			g.clock.noticeSuspension()
 			g.step(router.Tick{})
 			if g.now() >= nextMaintenance {
 				nextMaintenance = g.now() + maintenanceInterval
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -52,7 +52,7 @@
 func TestPeersAreServedAfterTheFirstListOfTheStore(t *testing.T) {
 	acceptsAfter := func(t *testing.T, name string, listEndsAfter time.Duration) (after time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
-			g := &Gateway{ctx: t.Context(), storeTried: newOnceSignal()}
+			g := &Gateway{ctx: t.Context(), storeTried: newOnceSignal(), clock: newClock(sinceBoot)}
 			l := &acceptRecorder{accepting: make(chan struct{}), closed: make(chan struct{})}
 			began := time.Now()
 			time.AfterFunc(listEndsAfter, g.storeTried.set)
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -15,7 +15,7 @@
 func TestEventThatArrivesWhileTheRouterIsBusy(t *testing.T) {
 	for name, arrives := range map[string]bool{"event": true, "nothing": false} {
 		t.Run(name, func(t *testing.T) {
-			g := &Gateway{router: router.New(router.Config{}), metrics: newMetrics(), start: time.Now()}
+			g := &Gateway{router: router.New(router.Config{}), metrics: newMetrics(), clock: newClock(sinceBoot)}
 			a := &attempt{callerRequest: &callerRequest{g: g}}
 			reported, done := make(chan bool), make(chan bool)
 			g.mu.Lock()
