gateway: the header of a silent engine does not end the attempt beside it

Callers got a 502 although an engine was about to answer them: the first engine of their request, silent until then, sent its header, which ended the attempt at the second one, and then broke off. No further attempt was allowed.

The attempt beside the silent one now ends with the silent engine's first event, or with its whole response where responses are held until they are complete. The one that has something to forward first wins.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -210,16 +210,12 @@
 		a.fail(router.Broken, err)
 		return
 	}
-	if a.exchange.Response.StatusCode < 300 {
-		a.heard()
-	}
-	switch {
-	case a.isStream():
+	if a.isStream() {
 		a.g.step(router.ResponseStarted{Call: a.id, Report: *a.result.Report})
 		a.forwardStream()
-	default:
-		a.forwardWhole()
+		return
 	}
+	a.forwardWhole()
 }
 
 // isStream reports whether the events of the response are forwarded as they arrive.
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -162,15 +162,6 @@
 	return true
 }
 
-// heard ends the attempt beside this one, whose engine has begun to respond.
-func (a *attempt) heard() {
-	a.turn.Lock()
-	defer a.turn.Unlock()
-	if _, ended := a.state.endedAs(); !ended {
-		a.endBeside()
-	}
-}
-
 // delivers reports whether a complete response is to be delivered. One that has arrived is, at the end of a stop too.
 func (a *attempt) delivers() bool {
 	a.turn.Lock()
