router: an instance without a record of versions confirms none

Where the store was restored from a copy without the record of a service's versions, instances that started before it was written again took the one version that was registered for the only one, and could join the rest of a stream of a version whose engines had left.

Only an instance that has known a record since it started confirms that there is one version. One that knew it before a restore still does, with what it has learnt; a record that can't be read counts as unknown. What an instance without links finds in the store is told from what others answer.

TestMissingRecordIsNoProofOfOneVersion failed before. TestResumedStreamIsNotLearnedFrom ran 0.9 s without a tick, which now counts as a suspension, and had part of its requests refused before already; it ticks, and requires that each is sent.

--- a/internal/router/openversions.go
+++ b/internal/router/openversions.go
@@ -98,7 +98,7 @@
 	}
 	if err != nil {
 		// The record is written again.
-		o.Unrecorded()
+		o.Unreadable()
 		r.emit(Decision{Kind: "versions_rejected", Fields: []any{"key", f.Key, "revision", replica.FormatRevision(f.Revision), "error", err.Error()}})
 		return false
 	}
@@ -249,6 +249,13 @@
 	return true
 }
 
+// confirmsVersion reports whether this instance knows no version of a service but one, and knows from a record that there
+// was no other before it started.
+func (r *Router) confirmsVersion(service fleet.ServiceID, version fleet.EngineVersion) bool {
+	known, only := r.onlyVersion(service)
+	return only && known == version && r.streams.open[service].HasRecord()
+}
+
 // resumedRecently reports whether this instance may only lack news because it was suspended until just now.
 func (r *Router) resumedRecently() bool { return r.now-r.streams.resumedAt < resumptionTime }
 
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -265,7 +265,7 @@
 		r.answerOrigin(question, false)
 		return
 	}
-	if version, only := r.onlyVersion(m.Service); m.Service != "" && only && version == m.Version {
+	if m.Service != "" && r.confirmsVersion(m.Service, m.Version) {
 		r.emit(SendMessage{To: from, Message: &wire.StreamOriginReply{ID: m.ID, Confirmed: true}})
 		return
 	}
@@ -281,7 +281,7 @@
 func (r *Router) answerOrigin(q originQuestion, readStore bool) {
 	origin, known := r.streams.memory.Lookup(r.now, q.stream)
 	if q.from == "" {
-		r.originAnswered(q.own, originAnswer{origin: origin, known: known, readStore: readStore})
+		r.originAnswered(q.own, originAnswer{origin: origin, known: known, readStore: readStore, own: true})
 		return
 	}
 	r.emit(SendMessage{To: q.from, Message: &wire.StreamOriginReply{ID: q.id, Known: known, ReadStore: readStore, Service: origin.Service, Version: origin.Version}})
--- a/internal/router/originsearch.go
+++ b/internal/router/originsearch.go
@@ -41,6 +41,8 @@
 type originAnswer struct {
 	origin                      versions.Origin
 	known, confirmed, readStore bool
+	// own is set for what this instance has found in the store itself.
+	own bool
 }
 
 // findsOrigin finds what began the stream of which a request is to be the rest. It returns false if the request waits or
@@ -54,18 +56,17 @@
 		return true
 	}
 	version, only := r.onlyVersion(c.service)
-	switch {
-	case only && len(r.members.linked) == 0 && len(r.registeredInstances()) == 0:
+	if only && r.alone() {
 		r.originFound(c, versions.Origin{Service: c.service, Version: version}, "only_version")
 		return true
-	case !only && c.Stream == 0:
-		r.originUnknown(c, true)
-	default:
-		r.searchOrigin(&originSearch{call: c, askedAt: r.now, assumed: version, only: only})
 	}
+	r.searchOrigin(&originSearch{call: c, askedAt: r.now, assumed: version, only: only})
 	return false
 }
 
+// alone reports whether there is no other instance that could know of a further version.
+func (r *Router) alone() bool { return len(r.members.linked) == 0 && len(r.registeredInstances()) == 0 }
+
 // originFound fixes the version at which the stream of a request must go on.
 func (r *Router) originFound(c *call, origin versions.Origin, source string) {
 	c.origin = &origin
@@ -80,6 +81,12 @@
 	r.streams.lastID++
 	id := r.streams.lastID
 	r.streams.searches[id] = s
+	if s.call.Stream == 0 && !s.only {
+		// No keeper knows a stream without a name.
+		s.readStore = true
+		r.continueSearch(id, s)
+		return
+	}
 	for _, keeper := range r.keepers(partition) {
 		switch {
 		case keeper != r.cfg.Instance:
@@ -119,7 +126,9 @@
 	}
 	s.unanswered--
 	s.readStore = s.readStore || a.readStore
-	s.confirmed = s.confirmed || a.confirmed
+	// Without a link to any other instance, the store shows that this one is not cut off.
+	found := a.own && a.readStore && len(r.members.linked) == 0 && r.confirmsVersion(s.call.service, s.assumed)
+	s.confirmed = s.confirmed || a.confirmed || found
 	if a.known {
 		r.endSearch(id, s, func() {
 			r.originFound(s.call, a.origin, "keeper")
@@ -134,11 +143,9 @@
 func (r *Router) continueSearch(id uint64, s *originSearch) {
 	version, only := r.onlyVersion(s.call.service)
 	changed := only != s.only || version != s.assumed
-	// Without a link to any other instance, the store shows that this one is not cut off.
-	confirmed := s.confirmed || s.readStore && len(r.members.linked) == 0
 	over := r.now-s.askedAt >= originTimeout || r.drainOver()
 	switch {
-	case only && !changed && confirmed:
+	case only && !changed && s.confirmed:
 		r.endSearch(id, s, func() {
 			r.originFound(s.call, versions.Origin{Service: s.call.service, Version: version}, "only_version")
 			r.place(s.call)
--- a/internal/router/reading_test.go
+++ b/internal/router/reading_test.go
@@ -102,9 +102,11 @@
 		s.last++
 		tokens := 800 + 1000*i
 		s.step(CallArrived{Call: Call{ID: s.last, Host: "h", Path: "/chat/x", Arrived: s.now, Resumes: true, Tokens: placement.Tokens{Prompt: tokens, Own: tokens}}})
+		must[Send](s)
 		s.advance(10*time.Millisecond + time.Duration(tokens)*time.Millisecond/100)
 		s.step(FirstEventReceived{Call: s.last})
 		s.endAttempt(Completed)
+		s.step(Tick{})
 	}
 	s.prompt("/chat/x", 6000)
 	require.NotContains(t, must[Decision](s).Fields, "expected_ms")
--- a/internal/router/streamslag_test.go
+++ b/internal/router/streamslag_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/wire"
+	"github.com/bilberrywell/bilberrywell/replica"
 )
 
 // Guards against streams of two versions at instances that have just lost their paths or were suspended: where most engines
@@ -73,3 +75,29 @@
 		}
 	}
 }
+
+// Guards against instances that started while the store, restored from an older copy, had no record, and take the version that is
+// registered for the only one. Instances that have known the record go on with what they have learnt.
+func TestMissingRecordIsNoProofOfOneVersion(t *testing.T) {
+	s := newSession(t, 1)
+	s.link(1)
+	request := &wire.StreamOriginRequest{ID: 1, Stream: 7, Service: "s"}
+	confirms := func() bool {
+		s.step(PeerMessage{From: "i2", Incarnation: 1, Message: request})
+		for _, m := range s.sent(wire.KindStreamOriginReply) {
+			return m.Message.(*wire.StreamOriginReply).Confirmed
+		}
+		return false
+	}
+	require.False(t, confirms())
+	s.takeUp(7)
+	s.requireNotSent()
+	s.step(PeerMessage{From: "i2", Incarnation: 1, Message: &wire.StreamOriginReply{ID: s.r.streams.lastID, Confirmed: true}})
+	must[Send](s)
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: versionsKey("s"), Revision: 301, Value: []byte(`{"usable":[""]}`)}}, AtRevision: 301})
+	require.True(t, confirms())
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: versionsKey("s"), Revision: 302, Deleted: true}}, AtRevision: 302})
+	require.True(t, confirms())
+	s.step(KeysChanged{Facts: []replica.Fact{{Key: versionsKey("s"), Revision: 303, Value: []byte("no record")}}, AtRevision: 303})
+	require.False(t, confirms())
+}
--- a/versions/open.go
+++ b/versions/open.go
@@ -21,8 +21,9 @@
 	// life is how long a stream can stay open, settle how long a version is opening before it is usable. Instances know
 	// of an older record.
 	life, settle time.Duration
-	// record is nil until one is known.
-	record *Record
+	// record is nil until one is known, and after it is gone. recorded is set from the first one on, unless one can't be read.
+	record   *Record
+	recorded bool
 	// openingSince holds when this instance learnt of the versions that are opening.
 	openingSince map[fleet.EngineVersion]time.Duration
 	// registered holds the versions of the engines that are registered now.
@@ -54,13 +55,16 @@
 			o.lastSeen[v] = now
 		}
 	}
-	o.record, o.openingSince = &record, opening
+	o.record, o.openingSince, o.recorded = &record, opening, true
 }
 
 // Unrecorded records that the record is gone, because the store was restored from a copy without it. What this instance
 // has learnt still counts.
 func (o *Open) Unrecorded() { o.record, o.openingSince = nil, nil }
 
+// Unreadable records that the record can't be read, so that it may hold versions of which this instance knows nothing.
+func (o *Open) Unreadable() { o.record, o.openingSince, o.recorded = nil, nil, false }
+
 // Registered sets the versions of the engines that are registered now.
 func (o *Open) Registered(now time.Duration, versions map[fleet.EngineVersion]bool) {
 	for v := range o.registered {
@@ -107,8 +111,8 @@
 	return "", false
 }
 
-// HasRecord reports whether a record is known.
-func (o *Open) HasRecord() bool { return o.record != nil }
+// HasRecord reports whether a record is known, or was until the store lost it.
+func (o *Open) HasRecord() bool { return o.recorded }
 
 // Several reports whether streams may have begun at more than one version, so that their origins must be kept.
 func (o *Open) Several(now time.Duration) bool { return len(o.current(now)) > 1 }
