gateway: a caller that names a stream has begun it, also without its last event

A request that names in Resumes the attempt that brought the first event of a stream, but no last event, was served as a new stream by an engine of any version, although the caller held an event of another one.

Such a request now counts as one for the rest of a stream.

TestRestOfAStreamIsNotJoinedFromTwoVersions sends such requests too; it failed before with 200 for 503.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -85,11 +85,12 @@
 	defer c.releaseBody()
 	c.id = id
 	if !c.headerTooLarge() && c.readBody() {
-		if c.lastEvent != "" {
+		call := callOf(id, c.callHead, r.Host, r.Method, c.target, c.body, arrived)
+		if call.Resumes {
 			// The version of the rest of a stream depends on how old this instance's copy of the store is.
 			g.clock.noticeSuspension()
 		}
-		g.step(router.CallArrived{Call: callOf(id, c.callHead, r.Host, r.Method, c.target, c.body, arrived)})
+		g.step(router.CallArrived{Call: call})
 		c.executeAll(commands)
 	}
 	release()
@@ -108,7 +109,7 @@
 		Fingerprint:   fingerprint(method, target, head.APIKey, body),
 		PromptParts:   head.PromptParts,
 		Tokens:        head.Tokens,
-		Resumes:       head.LastEvent != "",
+		Resumes:       head.LastEvent != "" || head.Stream != "",
 		Stream:        versions.KeyOf(head.Stream),
 		CallerTimeout: head.CallerTimeout,
 		BodyBytes:     int64(len(body)),
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -33,7 +33,7 @@
 	PromptParts []fleet.Fingerprint
 	// Tokens holds the tokens of the prompt and the output; zero if they are unknown.
 	Tokens placement.Tokens
-	// Resumes reports whether the caller already has a part of the stream that it requests.
+	// Resumes reports whether the caller already has a part of the stream that it requests: it names the stream or its last event.
 	Resumes bool
 	// Stream identifies the stream of which the caller has a part, if it said.
 	Stream versions.StreamKey
