--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -159,7 +159,7 @@
 		require.False(t, stalled(s, false), "no other attempt would begin")
 		require.True(t, stalled(s, true))
 		s.step(AttemptEnded{Call: s.last, Outcome: outcome, Delivered: true})
-		require.Empty(t, refusals(s), "the other attempt goes on")
+		require.Empty(t, findAll[Refuse](s), "the other attempt goes on")
 		s.endAttempt(Completed)
 		require.True(t, must[Release](s).Complete)
 
--- a/internal/router/openversions.go
+++ b/internal/router/openversions.go
@@ -147,7 +147,7 @@
 // versionsChanged has the origins of this instance's streams kept when they are first needed: streams of the service may have
 // begun at a second version, or this instance would not know.
 func (r *Router) versionsChanged(service fleet.ServiceID, o *openVersions) {
-	keeps := o.Several(r.now) || r.now-r.store.currentAt > r.readSilenceLimit()
+	keeps := o.Several(r.now) || !r.copyIsRecent()
 	if keeps && !r.streams.keeps[service] {
 		r.copyAllOrigins(service)
 	}
@@ -233,13 +233,17 @@
 	return o.Only(r.now)
 }
 
+// copyIsRecent reports whether this instance's copy of the store shows what it held within the time after which readers count
+// as lost.
+func (r *Router) copyIsRecent() bool { return r.now-r.store.currentAt <= r.readSilenceLimit() }
+
 // versionsCurrent reports whether this instance would know if streams began at a further version: its copy of the store
 // is current, or no instance has a copy that is.
 func (r *Router) versionsCurrent() bool {
-	limit := r.readSilenceLimit()
-	if r.now-r.store.currentAt <= limit {
+	if r.copyIsRecent() {
 		return r.store.currentAt >= r.streams.resumedAt+lateReadTime
 	}
+	limit := r.readSilenceLimit()
 	for _, id := range r.registeredInstances() {
 		p := r.members.linked[id]
 		if p == nil || p.lastStatusReport == nil || p.lastReportAt <= r.store.currentAt+limit || r.now-r.peerCurrentAt(p.lastStatusReport) <= limit {
--- a/internal/router/stalls_test.go
+++ b/internal/router/stalls_test.go
@@ -215,7 +215,7 @@
 			second := s.stall(first.Engine.ID, false)
 			ended.Call = s.last
 			s.step(ended)
-			require.Empty(t, refusals(s), "the other attempt is still under way")
+			require.Empty(t, findAll[Refuse](s), "the other attempt is still under way")
 			ended.Engine, ended.Outcome = second.Engine.ID, Superseded
 			s.step(ended)
 			_, sent := find[Send](s)
@@ -225,11 +225,12 @@
 	}
 }
 
-func refusals(s *session) []Refuse {
-	var list []Refuse
-	for _, e := range s.out {
-		if refuse, ok := e.(Refuse); ok {
-			list = append(list, refuse)
+// findAll returns the effects of a type in the last step.
+func findAll[E any](s *session) []E {
+	var list []E
+	for _, effect := range s.out {
+		if e, ok := effect.(E); ok {
+			list = append(list, e)
 		}
 	}
 	return list
@@ -248,7 +249,7 @@
 				failing, other = first, second
 			}
 			s.step(AttemptEnded{Call: s.last, Engine: failing.Engine.ID, Outcome: outcome, Delivered: true, Discarded: !olderFails})
-			require.Empty(t, refusals(s), "%v", outcome)
+			require.Empty(t, findAll[Refuse](s), "%v", outcome)
 			_, sent := find[Send](s)
 			require.False(t, sent, "%v", outcome)
 			require.Equal(t, other.Engine.ID, s.r.calls[s.last].engine)
@@ -274,7 +275,7 @@
 			if send, ok := sentBeside(s); ok {
 				tries++
 				s.step(AttemptEnded{Call: s.last, Engine: send.Engine.ID, Outcome: Rejected, Delivered: true})
-				require.Empty(t, refusals(s))
+				require.Empty(t, findAll[Refuse](s))
 			}
 			s.advance(50 * time.Millisecond)
 		}
@@ -337,24 +338,13 @@
 	_, sent := find[Send](s)
 	require.False(t, sent)
 	s.step(AttemptEnded{Call: s.last, Engine: second.Engine.ID, Outcome: Stalled})
-	require.Empty(t, commands(s), "the older one goes on")
+	require.Empty(t, findAll[Command](s), "the older one goes on")
 	third := s.stall(first.Engine.ID, false)
 	require.NotContains(t, []fleet.EngineID{first.Engine.ID, second.Engine.ID}, third.Engine.ID)
 	s.step(AttemptStalled{Call: s.last, Engine: third.Engine.ID})
 	require.Empty(t, s.out, "no further attempt is allowed")
 	s.step(AttemptEnded{Call: s.last, Engine: third.Engine.ID, Outcome: Broken})
-	require.Empty(t, commands(s), "the first engine may still go on")
-}
-
-// commands returns the commands of the last step.
-func commands(s *session) []Command {
-	var list []Command
-	for _, e := range s.out {
-		if command, ok := e.(Command); ok {
-			list = append(list, command)
-		}
-	}
-	return list
+	require.Empty(t, findAll[Command](s), "the first engine may still go on")
 }
 
 // Guards against a failure response that is delivered although it was discarded, and against one that was held back and
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -49,15 +49,15 @@
 // ownPrefix precedes the keys that instances write and exchange.
 const ownPrefix = "bilberrywell/"
 
-// FactPrefixes returns the prefixes of the keys that instances exchange.
-func FactPrefixes(decoder StoreDecoder) []string {
+// factPrefixes returns the prefixes of the keys that instances exchange.
+func factPrefixes(decoder StoreDecoder) []string {
 	configuration, registrations := decoder.Prefixes()
 	return []string{configuration, registrations, decoder.EvacuationPrefix(), ownPrefix}
 }
 
 // exchanged returns the facts that instances exchange. Other keys, such as those with origins of streams, are left out.
 func (r *Router) exchanged(facts []replica.Fact) []replica.Fact {
-	prefixes := FactPrefixes(r.cfg.StoreDecoder)
+	prefixes := factPrefixes(r.cfg.StoreDecoder)
 	other := func(f replica.Fact) bool {
 		return !slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(f.Key, prefix) })
 	}
