--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -43,7 +43,8 @@
 	// stream after which AttemptStalled is reported; 0 waits until Deadline.
 	HeaderTimeout time.Duration
 	GapTimeout    time.Duration
-	// Beside requests that the running attempt, whose engine is silent, goes on until this one has begun to respond.
+	// Beside requests that the running attempt, whose engine is silent, goes on until a part of this one's response can be
+	// forwarded.
 	// If the silent engine goes on first, this attempt ends as Superseded.
 	Beside bool
 	// ReportFirstEvent requests a FirstEventReceived.
@@ -51,7 +52,7 @@
 }
 
 // EndStalledAttempt ends the younger one of two silent attempts of a request as Stalled, because a third engine can take
-// its place, unless it has begun to respond.
+// its place, unless it has replaced the older one.
 type EndStalledAttempt struct {
 	Call   CallID
 	Engine fleet.EngineID
