router: a short suspension does not refuse the rest of a stream

Its log shows the record 1.3 s before and no store read since; the process had stood still for over 0.25 s, so that its copy did not count as current, and the request waited 0.37 s for news that a quiet store brings after 0.7 s.

An instance without any other one needs no news: no stream has begun elsewhere. One with others waits until its next read of the store, for a second after the suspension, if it knows one version only.

TestShortSuspensionRefusesNoStream failed before.

--- a/internal/router/openversions.go
+++ b/internal/router/openversions.go
@@ -35,8 +35,9 @@
 	// then reads within lateReadTime may have been sent before.
 	suspensionTime = 250 * time.Millisecond
 	lateReadTime   = 100 * time.Millisecond
-	// resumptionTime is the time within which an instance that goes on after a suspension has read the store again.
-	resumptionTime = 500 * time.Millisecond
+	// resumptionTime is the time within which an instance that goes on after a suspension has read the store again, or a
+	// peer's report of it.
+	resumptionTime = WatchWait + 300*time.Millisecond
 )
 
 // openVersions is what an instance knows of the versions of one service.
@@ -240,6 +241,9 @@
 // versionsCurrent reports whether this instance would know if streams began at a further version: its copy of the store
 // is current, or no instance has a copy that is.
 func (r *Router) versionsCurrent() bool {
+	if r.alone() {
+		return true
+	}
 	if r.copyIsRecent() {
 		return r.store.currentAt >= r.streams.resumedAt+lateReadTime
 	}
@@ -260,8 +264,16 @@
 	return only && known == version && r.streams.open[service].HasRecord()
 }
 
-// resumedRecently reports whether this instance may only lack news because it was suspended until just now.
-func (r *Router) resumedRecently() bool { return r.now-r.streams.resumedAt < resumptionTime }
+// awaitsNews reports whether this instance knows one version of a service only, and will know within moments whether that still
+// holds, because it was suspended until just now.
+func (r *Router) awaitsNews(service fleet.ServiceID) bool {
+	o := r.streams.open[service]
+	if o == nil || r.now-r.streams.resumedAt >= resumptionTime {
+		return false
+	}
+	_, only := o.Only(r.now)
+	return only
+}
 
 // noticeSuspension records that this instance was suspended or short of processor time.
 func (r *Router) noticeSuspension() {
--- a/internal/router/originsearch.go
+++ b/internal/router/originsearch.go
@@ -143,14 +143,16 @@
 func (r *Router) continueSearch(id uint64, s *originSearch) {
 	version, only := r.onlyVersion(s.call.service)
 	changed := only != s.only || version != s.assumed
-	over := r.now-s.askedAt >= originTimeout || r.drainOver()
+	waited := r.now - s.askedAt
+	awaitsNews := waited < originTimeout+resumptionTime && r.awaitsNews(s.call.service)
+	over := waited >= originTimeout && !awaitsNews || r.drainOver()
 	switch {
-	case only && !changed && s.confirmed:
+	case only && !changed && (s.confirmed || r.alone()):
 		r.endSearch(id, s, func() {
 			r.originFound(s.call, versions.Origin{Service: s.call.service, Version: version}, "only_version")
 			r.place(s.call)
 		})
-	case over, !only && !changed && s.unanswered <= 0 && !r.resumedRecently():
+	case over, !only && !changed && s.unanswered <= 0 && !awaitsNews:
 		r.endSearch(id, s, func() { r.originUnknown(s.call, s.readStore && !only) })
 	case changed:
 		delete(r.streams.searches, id)
--- a/internal/router/streamslag_test.go
+++ b/internal/router/streamslag_test.go
@@ -101,3 +101,23 @@
 	s.step(KeysChanged{Facts: []replica.Fact{{Key: versionsKey("s"), Revision: 303, Value: []byte("no record")}}, AtRevision: 303})
 	require.False(t, confirms())
 }
+
+// Guards against the rest of streams that is refused after a short suspension although only one version has served: by an
+// instance without others, and by each one of a fleet.
+func TestShortSuspensionRefusesNoStream(t *testing.T) {
+	s := newVersionedSession(t, "v1")
+	s.step(Tick{})
+	s.advance(suspensionTime + 50*time.Millisecond)
+	s.takeUp(7)
+	must[Send](s)
+
+	f := newVersionedFleet(t, 5, 3, "v1")
+	for i := range 40 {
+		id := f.ids[i%len(f.ids)]
+		f.run(f.untilHeartbeat() + 470*time.Millisecond + time.Duration(i)*35*time.Millisecond)
+		f.members[id].frozen = true
+		f.run(suspensionTime + 50*time.Millisecond)
+		f.members[id].frozen = false
+		require.Equal(t, "v1", f.takeUp(id, "a"), "suspension %d", i)
+	}
+}
