--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -231,7 +231,7 @@
 
 // accept upgrades a request and serves the link in a goroutine of its own.
 func (m *Manager) accept(w http.ResponseWriter, r *http.Request) {
-	if m.config.Secret != "" && !sameSecret(r.Header.Get("Authorization"), "Bearer "+m.config.Secret) {
+	if !HasSecret(r, m.config.Secret) {
 		m.counters.refusedSecret.Inc()
 		http.Error(w, "unauthorized", http.StatusUnauthorized)
 		return
@@ -272,6 +272,11 @@
 	return hello, m.sendHello(ctx, conn, false)
 }
 
+// HasSecret reports whether a request bears the fleet's secret. An empty secret admits every request.
+func HasSecret(r *http.Request, secret string) bool {
+	return secret == "" || sameSecret(r.Header.Get("Authorization"), "Bearer "+secret)
+}
+
 // sameSecret compares digests in constant time, so that the time reveals neither the content nor the
 // length of the secret.
 func sameSecret(got, want string) bool {
