gateway: reach engines through peers while the own paths are lost

Cause: an instance had one path to each engine. It tried three engines for 150 ms each and refused.

Change: connections to engines are opened by internal/relay, directly or through a peer. All decisions stay at the instance that has the request. Engines that peers reach are not paused, and their broken requests are no crash suspects. Kept connections are closed when the instance is cut off. A connection through a peer carries one exchange, and a relay that stops waits for it.

TestRelayThatStopsFinishesWhatItRelays fails if the stop does not wait.

--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -221,6 +221,7 @@
 		c.settled = true
 		c.endBeside()
 	}
+	a.result.NoPath = a.result.Outcome == router.Unsent && !c.g.engineDialer.Blames(a.cmd.Engine.Addr)
 	a.result.Delivered, a.result.EndsWithoutID = c.headerWritten.Load(), c.endsWithoutID
 	return a.result
 }
--- a/internal/gateway/configs.go
+++ b/internal/gateway/configs.go
@@ -53,9 +53,11 @@
 			g.enqueue(router.PeerMessage{From: from, Incarnation: incarnation, Message: m})
 		},
 		OnUp: func(hello wire.Hello) {
+			g.engineDialer.PeerUp(hello.Instance, hello.Addr)
 			g.enqueue(router.PeerUp{Instance: hello.Instance, Incarnation: hello.Incarnation, Addr: hello.Addr, DataCentre: hello.DataCentre})
 		},
 		OnDown: func(instance fleet.InstanceID, incarnation uint64) {
+			g.engineDialer.PeerDown(instance)
 			g.enqueue(router.PeerDown{Instance: instance, Incarnation: incarnation})
 		},
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/peer"
 	"github.com/bilberrywell/bilberrywell/internal/platform"
+	"github.com/bilberrywell/bilberrywell/internal/relay"
 	"github.com/bilberrywell/bilberrywell/internal/router"
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
 	"github.com/bilberrywell/bilberrywell/routing"
@@ -61,6 +62,8 @@
 	SettingsChanged func() bool
 	// ControlsLoad reports whether contracts of the platform ask for load control. May be nil.
 	ControlsLoad func(contracts []string) bool
+	// DialEngine opens connections to engines. If nil, they are opened with upstream.NewDialer.
+	DialEngine relay.DialFunc
 	// LogDropped returns the number of log lines that were dropped. May be nil.
 	LogDropped func() uint64
 }
@@ -86,6 +89,8 @@
 	callerHTTPServer *http.Server
 	callerListener   *callerListener
 	engineConns      *upstream.Pool
+	engineDialer     *relay.Dialer
+	relayServer      *relay.Server
 	peers            *peer.Manager
 	events           chan router.Event
 	storeWatch       *watchSwitch
@@ -116,13 +121,13 @@
 		store:       o.Store,
 		incarnation: uint64(time.Now().UnixNano()),
 		clock:       newClock(sinceBoot),
-		engineConns: upstream.NewPool(nil),
 		events:      make(chan router.Event, eventQueueSize),
 		metrics:     newMetrics(),
 		storeWatch:  newWatchSwitch(),
 		storeTried:  newOnceSignal(),
 		drained:     make(chan struct{}),
 	}
+	g.openEnginePaths(binary.LittleEndian.Uint64(seed[:]))
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.calls.init()
 	g.bodies.limit = int64(o.Settings.BodyMemory)
@@ -250,7 +255,9 @@
 	if err == nil {
 		g.engineConns.Put(conn, 0)
 	}
-	g.step(router.EngineChecked{Engine: e.Engine, Reachable: err == nil})
+	if err == nil || g.engineDialer.Blames(e.Addr) {
+		g.step(router.EngineChecked{Engine: e.Engine, Reachable: err == nil})
+	}
 }
 
 // Run serves until ctx ends, and then until the instance has drained or its stop grace is over.
@@ -269,6 +276,7 @@
 		"peers", g.settings.PeerAddr, "store", g.settings.StoreAddr)
 	<-ctx.Done()
 	g.draining.Store(true)
+	g.relayServer.Stop()
 	g.step(router.DrainRequested{})
 	g.awaitDrained(g.settings.StopGrace - exitMargin)
 	g.stop(servers)
@@ -293,7 +301,9 @@
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = g.callerHTTPServer.Shutdown(ended)
-	g.awaitNoCalls(0, deadline.C)
+	if g.awaitNoCalls(0, deadline.C) {
+		g.awaitNoRelayed(deadline.C)
+	}
 }
 
 // awaitNoCalls waits until there has been no request for a time. It returns false if the deadline passes first.
@@ -322,6 +332,7 @@
 		s.Shutdown(ctx)
 	}
 	g.cancel()
+	g.relayServer.Close()
 	g.peers.Close()
 	g.tasks.Wait()
 	g.engineConns.Close()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -36,7 +36,7 @@
 	list := []listener{
 		{"callers", g.settings.CallerAddr, g.callerHTTPServer},
 		{"readiness", g.settings.ReadyAddr, &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}},
-		{peerListener, g.settings.PeerAddr, &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout}},
+		{peerListener, g.settings.PeerAddr, &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout}},
 	}
 	if g.settings.MetricsAddr != "" {
 		list = append(list, listener{"metrics", g.settings.MetricsAddr, &http.Server{Handler: g.metrics.handler(g.stats, g.engineStates, g.where), ReadHeaderTimeout: headerTimeout}})
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -203,7 +203,7 @@
 		stats.served.add(r.now - c.sentAt)
 		pool.engines.Succeeded(r.now, c.engine, ev.FirstByte, stats.meanLatency)
 	case Unsent:
-		if !r.drainOver() {
+		if !r.drainOver() && !ev.NoPath {
 			r.engineUnreachable(c.engine)
 		}
 	case Rejected:
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -136,6 +136,8 @@
 	Discarded bool
 	// Failed reports, for a completed attempt, whether the response is a failure of the engine.
 	Failed bool
+	// NoPath reports, for an attempt that was not sent, that the instance itself reaches no engine.
+	NoPath bool
 	// Report is nil without the header of a response.
 	Report *EngineReport
 	// Detail is the text of the error, for logs.
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -387,3 +387,6 @@
 	}
 	r.tickEra()
 }
+
+// TakesRequestsAt reports whether a registered engine that is not draining has an address.
+func (r *Router) TakesRequestsAt(addr string) bool { return r.registry.TakesRequestsAt(addr) }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,6 +89,8 @@
 	mu     sync.Mutex
 	idle   map[string][]*Conn
 	closed bool
+	// generation counts the calls of Flush.
+	generation int
 }
 
 // NewPool returns an empty pool that opens connections with dial, or with NewDialer if it is nil. Open bounds their time.
@@ -112,8 +114,14 @@
 	// the end of an exchange.
 	expires      time.Time
 	idleLifetime time.Duration
+	// singleUse is set if the connection carries one exchange only, generation the pool's when it was opened.
+	singleUse  bool
+	generation int
 }
 
+// SingleUse is implemented by connections that must not be kept after an exchange.
+type SingleUse interface{ SingleUse() }
+
 // Get returns an idle connection to an address, or opens one. It returns none of used, the connections that have
 // carried the request before: a faulty engine may send a response again at the point where the next one is expected, and
 // only the id of the request tells them apart.
@@ -133,6 +141,9 @@
 
 // Open opens a connection.
 func (p *Pool) Open(ctx context.Context, addr string) (*Conn, error) {
+	p.mu.Lock()
+	generation := p.generation
+	p.mu.Unlock()
 	dialCtx, stop := withDialTimeout(ctx)
 	defer stop()
 	conn, err := p.dial(dialCtx, "tcp", addr)
@@ -143,7 +154,11 @@
 		return nil, err
 	}
 	head := &headLimit{source: conn}
-	return &Conn{addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleLifetime: defaultIdleLifetime}, nil
+	_, singleUse := conn.(SingleUse)
+	return &Conn{
+		addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleLifetime: defaultIdleLifetime,
+		singleUse: singleUse, generation: generation,
+	}, nil
 }
 
 // withDialTimeout returns a context that ends after dialTimeout. If the timeout is noticed late, the process has not looked for
@@ -205,13 +220,13 @@
 // connections to the engine as share allows; see Request.IdleShare.
 func (p *Pool) Put(c *Conn, share float64) {
 	c.expires = time.Now().Add(c.idleLifetime)
-	if c.reader.Buffered() > 0 {
+	if c.singleUse || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.addr]) >= idleLimit(share) {
+	if p.closed || c.generation != p.generation || len(p.idle[c.addr]) >= idleLimit(share) {
 		c.Close()
 		return
 	}
@@ -254,6 +269,24 @@
 	}
 }
 
+// Flush closes the idle connections to all engines, and each open one at the end of its exchange.
+func (p *Pool) Flush() {
+	p.mu.Lock()
+	p.generation++
+	idle := p.idle
+	p.idle = make(map[string][]*Conn)
+	p.mu.Unlock()
+	closeAll(idle)
+}
+
+func closeAll(idle map[string][]*Conn) {
+	for _, list := range idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
 // Prune closes the connections that have been idle for longer than their engines keep them.
 func (p *Pool) Prune() {
 	now := time.Now()
@@ -287,11 +320,7 @@
 	idle := p.idle
 	p.idle = make(map[string][]*Conn)
 	p.mu.Unlock()
-	for _, list := range idle {
-		for _, c := range list {
-			c.Close()
-		}
-	}
+	closeAll(idle)
 }
 
 // Close closes the connection.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -190,6 +190,16 @@
 	return list
 }
 
+// TakesRequestsAt reports whether an engine that is not draining is registered with an address.
+func (r *Registry) TakesRequestsAt(addr string) bool {
+	for _, e := range r.engines {
+		if e.Addr == addr && !e.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 // IDs returns the ids of all engines in order.
 func (r *Registry) IDs() []fleet.EngineID { return slices.Sorted(maps.Keys(r.engines)) }
 
