gateway: log how the end of a response was marked

Cause: the log of a stream that ended as complete too early does not tell a response whose end was marked from one that ended with its connection, nor whether the process was late when it noticed the end.

Change: attempt_ended has the framing of the response (length, chunks, connection), and late_read is logged with the counter bilberry_late_reads_total.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/router"
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
@@ -117,7 +119,7 @@
 		a.fail(outcome, err)
 		return false
 	}
-	a.responseBody = a.exchange
+	a.responseBody, a.result.Framing = a.exchange, a.exchange.Framing()
 	a.result.FirstByte = a.g.now() - a.sentAt
 	report := a.engineReport()
 	a.result.Report = &report
@@ -134,6 +136,7 @@
 			return true
 		}
 		a.g.metrics.set.GetOrCreateCounter("bilberry_late_reads_total").Inc()
+		klog.InfoS("late_read", "request", a.callHead.ID, "engine", a.cmd.Engine.ID)
 		return false
 	}, router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -78,7 +78,8 @@
 	r.emit(AttemptDone{Kind: c.route.Kind, Outcome: ev.Outcome, Reason: c.choiceReason, Try: c.try, FirstByte: ev.FirstByte,
 		Waited: c.sentAt - c.Arrived, CacheFetch: c.cacheFetch})
 	r.logDecision(c, "attempt_ended", "engine", c.engine, "outcome", ev.Outcome.String(), "detail", ev.Detail,
-		"ms", (r.now - c.sentAt).Milliseconds(), "first_byte_ms", ev.FirstByte.Milliseconds(), "delivered", c.partDelivered, "failed", ev.Failed)
+		"ms", (r.now - c.sentAt).Milliseconds(), "first_byte_ms", ev.FirstByte.Milliseconds(), "delivered", c.partDelivered, "failed", ev.Failed,
+		"framing", ev.Framing)
 	c.triedEngines = append(c.triedEngines, c.engine)
 	r.recordRejection(c, ev.Outcome)
 	if ev.Outcome == Errored && !ev.Discarded {
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -138,8 +138,8 @@
 	Failed bool
 	// Report is nil without the header of a response.
 	Report *EngineReport
-	// Detail is the text of the error, for logs.
-	Detail string
+	// Detail is the text of the error, and Framing how the end of the response's body is marked, for logs.
+	Detail, Framing string
 }
 
 // CallerDisconnected reports that the caller disconnected while no attempt was running.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -232,12 +232,32 @@
 	return x.writeErr != nil && !errors.Is(x.writeErr, os.ErrDeadlineExceeded) && !errors.Is(x.writeErr, syscall.EPIPE)
 }
 
-// EndsWithConnection reports whether the response has a body with neither a length nor chunks, so that the end of the
-// connection ends it. The response to a HEAD request ends with its head.
-func (x *Exchange) EndsWithConnection() bool {
-	return x.Response.Body != http.NoBody && x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+// Framings of a response's body, which mark its end.
+const (
+	// NoBody: the response ends with its head, as that to a HEAD request does.
+	NoBody     = "none"
+	WithLength = "length"
+	InChunks   = "chunks"
+	// WithConnection: the body has neither a length nor chunks, and the end of the connection ends it.
+	WithConnection = "connection"
+)
+
+// Framing returns how the end of the response's body is marked.
+func (x *Exchange) Framing() string {
+	switch {
+	case x.Response.Body == http.NoBody:
+		return NoBody
+	case x.Response.ContentLength >= 0:
+		return WithLength
+	case len(x.Response.TransferEncoding) > 0:
+		return InChunks
+	}
+	return WithConnection
 }
 
+// EndsWithConnection reports whether the response has a body that ends with the connection.
+func (x *Exchange) EndsWithConnection() bool { return x.Framing() == WithConnection }
+
 // SetReadTimeout bounds the time until the rest of the response has been read.
 func (x *Exchange) SetReadTimeout(d time.Duration) {
 	_ = x.conn.netConn.SetReadDeadline(time.Now().Add(d))
