gateway: a look at a connection leaves its error to the reader

What callers saw: streams that ended as complete before their last event, several at one moment at one instance, with engines of their own.

Cause: Linux reports a reset or a timeout of a connection once. The stall watch looked at it with MSG_PEEK and took the error. The reader then found an orderly end, which ends a response without length or chunks. The watch comes first if the process was not scheduled while the reset arrived, since timers run before sockets are polled; so it strikes all such streams of a late instance at once. Only requests that may be repeated have a stall watch, at routes with a target latency and a target gap.

Change: Peek polls the socket and asks for its number of unread bytes, which takes nothing. An end or an error that waits to be read is no silence of the engine either: the reader acts on it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,12 +127,12 @@
 	return true
 }
 
-// reportStall reports a timeout of the engine unless its bytes have been read meanwhile or wait to be read: then this process was
-// suspended or busy, or the caller does not read.
+// reportStall reports a timeout of the engine unless its bytes have been read meanwhile, or they or the end of the connection wait to be
+// read: then this process was suspended or busy, or the caller does not read.
 func (a *attempt) reportStall(silent func() bool) {
 	a.g.stepIf(func() bool {
 		conn := a.engineConn.Load()
-		if silent() && (conn == nil || !conn.Unread()) {
+		if silent() && (conn == nil || !conn.AwaitsRead()) {
 			return true
 		}
 		a.g.metrics.set.GetOrCreateCounter("bilberry_late_reads_total").Inc()
--- a/internal/httputil/peek.go
+++ b/internal/httputil/peek.go
@@ -6,8 +6,10 @@
 	"syscall"
 )
 
-// Peek reports whether bytes have arrived on a connection that were not read, without waiting for any. It returns
-// syscall.EAGAIN if the connection is open and none have arrived, and errors.ErrUnsupported if it has no file descriptor.
+// Peek reports whether bytes have arrived on a connection that were not read, without waiting for any and without an effect on later
+// reads: a pending error stays for them. It returns false without an error if the other side has ended the connection and
+// all bytes were read, syscall.EAGAIN if it is open and none have arrived, and errors.ErrUnsupported if the connection has no
+// file descriptor.
 func Peek(conn net.Conn) (arrived bool, err error) {
 	sys, ok := conn.(syscall.Conn)
 	if !ok {
@@ -17,11 +19,7 @@
 	if err != nil {
 		return false, err
 	}
-	var n int
 	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n > 0, errors.Join(err, peekErr)
+	err = raw.Control(func(fd uintptr) { arrived, peekErr = peek(int(fd)) })
+	return arrived, errors.Join(err, peekErr)
 }
--- a/internal/httputil/peek_test.go
+++ b/internal/httputil/peek_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -43,3 +44,28 @@
 	_, err = Peek(client)
 	require.ErrorIs(t, err, errors.ErrUnsupported)
 }
+
+// Guards against a look at a connection that takes the error of a reset, so that its reader finds an orderly end.
+func TestPeekLeavesTheResetToTheReader(t *testing.T) {
+	for _, sent := range []string{"", "x"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		sender, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		conn, err := l.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = sender.Write([]byte(sent))
+		require.NoError(t, err)
+		require.NoError(t, sender.(*net.TCPConn).SetLinger(0))
+		require.NoError(t, sender.Close())
+		require.Eventually(t, func() bool {
+			arrived, err := Peek(conn)
+			return arrived == (sent != "") && err == nil
+		}, 5*time.Second, time.Millisecond)
+		data, err := io.ReadAll(conn)
+		require.Equal(t, sent, string(data))
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -304,10 +304,10 @@
 	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
 }
 
-// Unread reports whether bytes have arrived that were not read from the connection. It may be called during an exchange.
-func (c *Conn) Unread() bool {
-	arrived, err := httputil.Peek(c.netConn)
-	return err == nil && arrived
+// AwaitsRead reports whether bytes, or the end of the connection, have arrived that were not read. It may be called during an exchange.
+func (c *Conn) AwaitsRead() bool {
+	_, err := httputil.Peek(c.netConn)
+	return err == nil
 }
 
 // setIdleLifetime sets idleLifetime from the timeout in the engine's Keep-Alive header.
