upstream: a response without framing whose engine has gone is not whole

What callers saw: streams, and other responses, that look complete although the engine's process ended within them.

Cause: the kernel closes the sockets of a process that is killed without a reset if nothing was left unread. A response with neither a length nor chunks ends in the same way, so the part counted as the whole on every route.

Change: such an end counts only if the engine accepts another connection, which the pool keeps for a later request. Otherwise the response is broken: it is resumed or sent again where that is allowed, and cut off or answered 502 elsewhere. The body of a rejection without framing is not read.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -252,11 +252,9 @@
 	return media
 }
 
-// endRejected reads the rest of a rejection and ends the attempt, which the engine did not run.
+// endRejected ends an attempt that the engine did not run.
 func (a *attempt) endRejected() {
-	// The connection is reused only if the rejection ends cleanly.
-	a.exchange.SetReadTimeout(rejectionTimeout)
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.exchange, maxHeldBytes)); err != nil {
+	if a.exchange.EndsWithConnection() || !a.discardRejection() {
 		a.exchange.Abort()
 	} else {
 		a.exchange.Finish()
@@ -267,6 +265,13 @@
 	}
 }
 
+// discardRejection reads the rest of a rejection, and reports whether it ended cleanly, so that the connection can be reused.
+func (a *attempt) discardRejection() bool {
+	a.exchange.SetReadTimeout(rejectionTimeout)
+	_, err := io.Copy(io.Discard, io.LimitReader(a.exchange, maxHeldBytes))
+	return err == nil
+}
+
 // forwardWhole reads a response into memory, and forwards it once it is complete.
 func (a *attempt) forwardWhole() {
 	body, err := io.ReadAll(io.LimitReader(a.responseBody, maxHeldBytes+1))
--- /dev/null
+++ b/internal/upstream/ending.go
@@ -0,0 +1,64 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+)
+
+// ErrUnmarkedEnd reports that a body with neither a length nor chunks has ended with its connection, and the engine accepts no
+// other one: its process may have ended before the response did, which closes connections in the same way.
+var ErrUnmarkedEnd = errors.New("upstream: the response ended with its connection, and the engine accepts no other one")
+
+// Framings of a response's body, which mark its end.
+const (
+	// NoBody: the response ends with its head, as that to a HEAD request does.
+	NoBody     = "none"
+	WithLength = "length"
+	InChunks   = "chunks"
+	// WithConnection: the body has neither a length nor chunks, and the end of the connection ends it.
+	WithConnection = "connection"
+)
+
+// Framing returns how the end of the response's body is marked.
+func (x *Exchange) Framing() string {
+	switch {
+	case x.Response.Body == http.NoBody:
+		return NoBody
+	case x.Response.ContentLength >= 0:
+		return WithLength
+	case len(x.Response.TransferEncoding) > 0:
+		return InChunks
+	}
+	return WithConnection
+}
+
+// EndsWithConnection reports whether the response has a body that ends with the connection.
+func (x *Exchange) EndsWithConnection() bool { return x.Framing() == WithConnection }
+
+// confirmEnd returns an error if the end of the connection may not be the end of the response. The connection that it opens serves a later
+// request in place of the one that has ended.
+func (x *Exchange) confirmEnd() error {
+	if x.writeMetReset() {
+		return io.ErrUnexpectedEOF
+	}
+	conn, err := x.pool.Open(x.ctx, x.conn.addr)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnmarkedEnd, err)
+	}
+	x.pool.Put(conn, x.idleShare)
+	return nil
+}
+
+// writeMetReset reports whether the end of the connection that was read stands for a reset or a timeout: the kernel
+// reports such an error once, and the write of the request may have met it. It ends the write.
+func (x *Exchange) writeMetReset() bool {
+	_ = x.conn.netConn.SetWriteDeadline(time.Now())
+	<-x.written
+	// EPIPE follows a reset after the engine has ended its side of the connection.
+	return x.writeErr != nil && !errors.Is(x.writeErr, os.ErrDeadlineExceeded) && !errors.Is(x.writeErr, syscall.EPIPE)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
@@ -56,6 +54,7 @@
 
 // Exchange is one request and its response.
 type Exchange struct {
+	ctx              context.Context
 	conn             *Conn
 	pool             *Pool
 	stopContextWatch func() bool
@@ -91,7 +90,7 @@
 //
 // The error is ErrUnsent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, c *Conn, req *Request, ownerOf func(*http.Response) Owner) (*Exchange, error) {
-	x := &Exchange{conn: c, pool: p, idleShare: req.IdleShare, written: make(chan struct{})}
+	x := &Exchange{ctx: ctx, conn: c, pool: p, idleShare: req.IdleShare, written: make(chan struct{})}
 	x.openSides.Store(2)
 	x.stopContextWatch = context.AfterFunc(ctx, c.Close)
 	if ctx.Err() != nil {
@@ -210,54 +209,22 @@
 	return http.ReadResponse(c.reader, req)
 }
 
-// Read reads the response's body. It returns io.EOF only at the end of a complete body.
+// Read reads the response's body. It returns io.EOF only at the end of a complete body, and ErrUnmarkedEnd if the body ends with the
+// connection of an engine that no longer accepts any.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
-	if err != io.EOF {
+	if err != io.EOF || x.bodyRead {
 		return n, err
 	}
-	if x.EndsWithConnection() && x.writeMetReset() {
-		return n, io.ErrUnexpectedEOF
+	if x.EndsWithConnection() {
+		if err := x.confirmEnd(); err != nil {
+			return n, err
+		}
 	}
 	x.bodyRead = true
 	return n, io.EOF
 }
 
-// writeMetReset reports whether the end of the connection that was read stands for a reset or a timeout: the kernel
-// reports such an error once, and the write of the request may have met it. It ends the write.
-func (x *Exchange) writeMetReset() bool {
-	_ = x.conn.netConn.SetWriteDeadline(time.Now())
-	<-x.written
-	// EPIPE follows a reset after the engine has ended its side of the connection.
-	return x.writeErr != nil && !errors.Is(x.writeErr, os.ErrDeadlineExceeded) && !errors.Is(x.writeErr, syscall.EPIPE)
-}
-
-// Framings of a response's body, which mark its end.
-const (
-	// NoBody: the response ends with its head, as that to a HEAD request does.
-	NoBody     = "none"
-	WithLength = "length"
-	InChunks   = "chunks"
-	// WithConnection: the body has neither a length nor chunks, and the end of the connection ends it.
-	WithConnection = "connection"
-)
-
-// Framing returns how the end of the response's body is marked.
-func (x *Exchange) Framing() string {
-	switch {
-	case x.Response.Body == http.NoBody:
-		return NoBody
-	case x.Response.ContentLength >= 0:
-		return WithLength
-	case len(x.Response.TransferEncoding) > 0:
-		return InChunks
-	}
-	return WithConnection
-}
-
-// EndsWithConnection reports whether the response has a body that ends with the connection.
-func (x *Exchange) EndsWithConnection() bool { return x.Framing() == WithConnection }
-
 // SetReadTimeout bounds the time until the rest of the response has been read.
 func (x *Exchange) SetReadTimeout(d time.Duration) {
 	_ = x.conn.netConn.SetReadDeadline(time.Now().Add(d))
