upstream: a response without framing ends with its engine's process, whoever has the address later

What callers saw: streams that look complete although the engine's process ended within them, while the gateway was not scheduled, and another process served at the address when it went on; also, now and then, without such a delay.

Cause: that the engine accepts a connection after the end does not show that the process that wrote the response still runs. The next one accepts it, and so does the listener of a process that is about to end: the kernel closes its connections first.

Change: a response without length or chunks has a companion, another connection to its engine that was open before the response ended. It ends with the process. Without one, because the response was short, a connection is opened at the end. It must last for the time in which a process that ends closes its sockets. Either one is kept for a later request, so that a response takes one connection more only at first.

TestNextProcessIsNoEndOfTheResponse is new. The tests of cut-off responses, now in parallel, take 50 ms for each end.

--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -93,8 +93,8 @@
 
 // unread reports whether bytes have arrived that were not read.
 func (c *callerConn) unread() bool {
-	arrived, err := httputil.Peek(c.Conn)
-	return err == nil && arrived
+	pending, err := httputil.Peek(c.Conn)
+	return err == nil && pending.Bytes
 }
 
 // endedBy returns which side ended the connection, with the error that shows it.
--- a/internal/httputil/peek.go
+++ b/internal/httputil/peek.go
@@ -6,20 +6,22 @@
 	"syscall"
 )
 
-// Peek reports whether bytes have arrived on a connection that were not read, without waiting for any and without an effect on later
-// reads: a pending error stays for them. It returns false without an error if the other side has ended the connection and
-// all bytes were read, syscall.EAGAIN if it is open and none have arrived, and errors.ErrUnsupported if the connection has no
-// file descriptor.
-func Peek(conn net.Conn) (arrived bool, err error) {
+// Pending is what has arrived on a connection and was not read. An error, as that of a reset, counts as the end.
+type Pending struct{ Bytes, End bool }
+
+// Peek returns what waits to be read from a connection, without an effect on later reads: an error that is pending stays for them.
+// It returns errors.ErrUnsupported if that can't be told.
+func Peek(conn net.Conn) (Pending, error) {
 	sys, ok := conn.(syscall.Conn)
 	if !ok {
-		return false, errors.ErrUnsupported
+		return Pending{}, errors.ErrUnsupported
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return false, err
+		return Pending{}, err
 	}
+	var pending Pending
 	var peekErr error
-	err = raw.Control(func(fd uintptr) { arrived, peekErr = peek(int(fd)) })
-	return arrived, errors.Join(err, peekErr)
+	err = raw.Control(func(fd uintptr) { pending, peekErr = peek(int(fd)) })
+	return pending, errors.Join(err, peekErr)
 }
--- a/internal/httputil/peek_other.go
+++ b/internal/httputil/peek_other.go
@@ -4,4 +4,4 @@
 
 import "errors"
 
-func peek(int) (bool, error) { return false, errors.ErrUnsupported }
+func peek(int) (Pending, error) { return Pending{}, errors.ErrUnsupported }
--- a/internal/httputil/unread.go
+++ b/internal/httputil/unread.go
@@ -73,7 +73,7 @@
 	if c.active || c.prolonged {
 		return false
 	}
-	if arrived, err := Peek(c.Conn); err != nil || !arrived {
+	if pending, err := Peek(c.Conn); err != nil || !pending.Bytes {
 		return false
 	}
 	c.prolonged = true
--- a/internal/httputil/unread_test.go
+++ b/internal/httputil/unread_test.go
@@ -29,8 +29,8 @@
 			_, err := caller.Write([]byte(sent))
 			require.NoError(t, err)
 			require.Eventually(t, func() bool {
-				arrived, err := Peek(conn.(*unreadConn).Conn)
-				return err == nil && arrived
+				pending, err := Peek(conn.(*unreadConn).Conn)
+				return err == nil && pending.Bytes
 			}, 5*time.Second, time.Millisecond)
 		}
 		require.NoError(t, conn.SetReadDeadline(time.Now().Add(-time.Second)))
--- a/internal/upstream/ending.go
+++ b/internal/upstream/ending.go
@@ -10,9 +10,9 @@
 	"time"
 )
 
-// ErrUnmarkedEnd reports that a body with neither a length nor chunks has ended with its connection, and the engine accepts no
-// other one: its process may have ended before the response did, which closes connections in the same way.
-var ErrUnmarkedEnd = errors.New("upstream: the response ended with its connection, and the engine accepts no other one")
+// ErrUnmarkedEnd reports that a body with neither a length nor chunks has ended with its connection, and that the engine's process has
+// ended or can't be reached: a process that ends closes its connections in the same way.
+var ErrUnmarkedEnd = errors.New("upstream: the response ended with its connection, and the engine has gone")
 
 // Framings of a response's body, which mark its end.
 const (
@@ -40,17 +40,33 @@
 // EndsWithConnection reports whether the response has a body that ends with the connection.
 func (x *Exchange) EndsWithConnection() bool { return x.Framing() == WithConnection }
 
-// confirmEnd returns an error if the end of the connection may not be the end of the response. The connection that it opens serves a later
-// request in place of the one that has ended.
+// exitTime is how long after the first one a process that ends closes its last connection, and its listener, at most.
+const exitTime = 50 * time.Millisecond
+
+// confirmEnd returns an error if the end of the connection may not be the end of the response: if the response has met a reset, or if another
+// connection to the engine can't be opened, or ends too. That one serves a later request in place of the one that has ended.
 func (x *Exchange) confirmEnd() error {
 	if x.writeMetReset() {
 		return io.ErrUnexpectedEOF
 	}
-	conn, err := x.pool.Open(x.ctx, x.conn.addr)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnmarkedEnd, err)
+	conn := x.takeCompanion()
+	if conn == nil {
+		var err error
+		if conn, err = x.pool.Open(x.ctx, x.conn.addr); err != nil {
+			return fmt.Errorf("%w: %w", ErrUnmarkedEnd, err)
+		}
+	}
+	defer x.pool.giveBack(conn, x.idleShare)
+	timer := time.NewTimer(exitTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-x.ctx.Done():
+	}
+	// A listener's queue takes connections until the process closes it, which resets them.
+	if !conn.openAndEmpty() {
+		return ErrUnmarkedEnd
 	}
-	x.pool.Put(conn, x.idleShare)
 	return nil
 }
 
--- a/internal/upstream/ending_test.go
+++ b/internal/upstream/ending_test.go
@@ -85,3 +85,41 @@
 	_, err = io.ReadAll(x)
 	require.ErrorIs(t, err, upstream.ErrUnmarkedEnd)
 }
+
+// Guards against a response without length or chunks that counts as whole although its engine's process ended within it, and another
+// process has the address by the time at which that is noticed.
+func TestNextProcessIsNoEndOfTheResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	accept := func() net.Conn {
+		conn, err := l.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	head := make(chan net.Conn)
+	go func() {
+		conn := accept()
+		if readRequest(bufio.NewReader(conn)) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n"+unmarkedEvents)
+		}
+		head <- conn
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	p := upstream.NewPool(nil)
+	t.Cleanup(p.Close)
+	x, err := p.Do(ctx, getConn(ctx, t, p, l.Addr().String()), &upstream.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}}, ownerByID)
+	require.NoError(t, err)
+	t.Cleanup(x.Abort)
+	_, err = io.ReadFull(x, make([]byte, len(unmarkedEvents)))
+	require.NoError(t, err)
+	response, companion := <-head, accept()
+	x.AwaitCompanion()
+	// The listener stands for that of the next process.
+	require.NoError(t, companion.Close())
+	require.NoError(t, response.Close())
+	_, err = io.ReadAll(x)
+	require.ErrorIs(t, err, upstream.ErrUnmarkedEnd)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -69,6 +69,9 @@
 	// Response is the header of the response. Read its body with Read.
 	Response *http.Response
 	bodyRead bool
+	// companion is nil without one. No other one is opened before nextCompanion.
+	companion     *companion
+	nextCompanion time.Time
 }
 
 // Owner tells whose response a response is.
@@ -210,13 +213,17 @@
 }
 
 // Read reads the response's body. It returns io.EOF only at the end of a complete body, and ErrUnmarkedEnd if the body ends with the
-// connection of an engine that no longer accepts any.
+// connection of an engine that has gone.
 func (x *Exchange) Read(b []byte) (int, error) {
+	unmarked := x.EndsWithConnection() && !x.bodyRead
+	if unmarked {
+		x.keepCompanion()
+	}
 	n, err := x.Response.Body.Read(b)
-	if err != io.EOF || x.bodyRead {
+	if err != io.EOF {
 		return n, err
 	}
-	if x.EndsWithConnection() {
+	if unmarked {
 		if err := x.confirmEnd(); err != nil {
 			return n, err
 		}
@@ -234,6 +241,7 @@
 // written completely, and the engine keeps the connection open too. Finish does not wait for a request
 // that is still being written.
 func (x *Exchange) Finish() {
+	x.dropCompanion()
 	reusable := x.bodyRead && !x.Response.Close && !x.EndsWithConnection()
 	// If the watch can no longer be stopped, the end of the context has closed the connection.
 	if !x.stopContextWatch() || !reusable {
@@ -247,6 +255,7 @@
 
 // Abort closes the connection.
 func (x *Exchange) Abort() {
+	x.dropCompanion()
 	x.stopContextWatch()
 	x.conn.Close()
 }
--- /dev/null
+++ b/internal/upstream/export_test.go
@@ -0,0 +1,4 @@
+package upstream
+
+// AwaitCompanion waits until the companion of the response is open.
+func (x *Exchange) AwaitCompanion() { <-x.companion.dialed }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -143,7 +143,10 @@
 		return nil, err
 	}
 	head := &headLimit{source: conn}
-	return &Conn{addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleLifetime: defaultIdleLifetime}, nil
+	return &Conn{
+		addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes),
+		idleLifetime: defaultIdleLifetime, expires: time.Now().Add(defaultIdleLifetime),
+	}, nil
 }
 
 // withDialTimeout returns a context that ends after dialTimeout. If the timeout is noticed late, the process has not looked for
@@ -205,6 +208,19 @@
 // connections to the engine as share allows; see Request.IdleShare.
 func (p *Pool) Put(c *Conn, share float64) {
 	c.expires = time.Now().Add(c.idleLifetime)
+	p.add(c, share)
+}
+
+// giveBack adds a connection that has carried nothing since Get or Open returned it.
+func (p *Pool) giveBack(c *Conn, share float64) {
+	if !time.Now().Before(c.expires) || !c.openAndEmpty() {
+		c.Close()
+		return
+	}
+	p.add(c, share)
+}
+
+func (p *Pool) add(c *Conn, share float64) {
 	if c.reader.Buffered() > 0 {
 		c.Close()
 		return
@@ -300,14 +316,14 @@
 // openAndEmpty reports whether an idle connection is open and has no bytes to read, since bytes that
 // arrive between exchanges belong to no request.
 func (c *Conn) openAndEmpty() bool {
-	_, err := httputil.Peek(c.netConn)
-	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
+	pending, err := httputil.Peek(c.netConn)
+	return err == nil && pending == httputil.Pending{} || errors.Is(err, errors.ErrUnsupported)
 }
 
 // AwaitsRead reports whether bytes, or the end of the connection, have arrived that were not read. It may be called during an exchange.
 func (c *Conn) AwaitsRead() bool {
-	_, err := httputil.Peek(c.netConn)
-	return err == nil
+	pending, err := httputil.Peek(c.netConn)
+	return err == nil && pending != httputil.Pending{}
 }
 
 // setIdleLifetime sets idleLifetime from the timeout in the engine's Keep-Alive header.
--- a/internal/upstream/torn_test.go
+++ b/internal/upstream/torn_test.go
@@ -66,6 +66,7 @@
 				end = " reset"
 			}
 			t.Run(name+end, func(t *testing.T) {
+				t.Parallel()
 				raw := c.head + c.body
 				var cut atomic.Int64
 				addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
