daemon: a part of an answer is reset for HTTP/1.0

What callers saw: a caller that speaks HTTP/1.0 got a part of an answer of a plain service as the whole one, when the engine broke off or the instance ended.

Cause: HTTP/1.0 has no chunks, so the end of the connection ends an answer without a length. net/http closes the connection of a handler that panics, and those that are open at a stop, without a reset.

Change: the connection of such a request has a linger time of 0 until its handler has returned, so that the kernel resets it at any earlier close, also when the process is killed.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -43,7 +43,9 @@
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		httputil.AnnounceIdle(w.Header(), r, d.settings.IdleTimeout)
+		complete := httputil.ResetUnlessComplete(r)
 		router.ServeHTTP(w, r)
+		complete()
 	})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -298,6 +298,7 @@
 		server := d.httpServer(h.handler)
 		if h.name == callerListener {
 			listener = httputil.KeepUnread(server, listener, d.settings.HeaderTimeout)
+			server.ConnContext = httputil.WithConn
 		}
 		servers = append(servers, &httputil.Server{Name: h.name, Listener: listener, HTTP: server})
 	}
--- a/internal/httputil/unread.go
+++ b/internal/httputil/unread.go
@@ -67,6 +67,9 @@
 // CloseWrite closes the sending side.
 func (c *unreadConn) CloseWrite() error { return CloseWrite(c.Conn) }
 
+// SetLinger sets the time for which a close waits for unsent bytes.
+func (c *unreadConn) SetLinger(seconds int) error { return SetLinger(c.Conn, seconds) }
+
 func (c *unreadConn) prolong() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
