--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/router"
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
@@ -117,7 +119,7 @@
 		a.fail(outcome, err)
 		return false
 	}
-	a.responseBody = a.exchange
+	a.responseBody, a.result.Framing = a.exchange, a.exchange.Framing()
 	a.result.FirstByte = a.g.now() - a.sentAt
 	report := a.engineReport()
 	a.result.Report = &report
@@ -125,15 +127,16 @@
 	return true
 }
 
-// reportStall reports a timeout of the engine unless its bytes have been read meanwhile or wait to be read: then this process was
-// suspended or busy, or the caller does not read.
+// reportStall reports a timeout of the engine unless its bytes have been read meanwhile, or they or the end of the connection wait to be
+// read: then this process was suspended or busy, or the caller does not read.
 func (a *attempt) reportStall(silent func() bool) {
 	a.g.stepIf(func() bool {
 		conn := a.engineConn.Load()
-		if silent() && (conn == nil || !conn.Unread()) {
+		if silent() && (conn == nil || !conn.AwaitsRead()) {
 			return true
 		}
 		a.g.metrics.set.GetOrCreateCounter("bilberry_late_reads_total").Inc()
+		klog.InfoS("late_read", "request", a.callHead.ID, "engine", a.cmd.Engine.ID)
 		return false
 	}, router.AttemptStalled{Call: a.id, Engine: a.cmd.Engine.ID, Delivered: a.headerWritten.Load()})
 }
@@ -249,11 +252,9 @@
 	return media
 }
 
-// endRejected reads the rest of a rejection and ends the attempt, which the engine did not run.
+// endRejected ends an attempt that the engine did not run.
 func (a *attempt) endRejected() {
-	// The connection is reused only if the rejection ends cleanly.
-	a.exchange.SetReadTimeout(rejectionTimeout)
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.exchange, maxHeldBytes)); err != nil {
+	if a.exchange.EndsWithConnection() || !a.discardRejection() {
 		a.exchange.Abort()
 	} else {
 		a.exchange.Finish()
@@ -264,6 +265,13 @@
 	}
 }
 
+// discardRejection reads the rest of a rejection, and reports whether it ended cleanly, so that the connection can be reused.
+func (a *attempt) discardRejection() bool {
+	a.exchange.SetReadTimeout(rejectionTimeout)
+	_, err := io.Copy(io.Discard, io.LimitReader(a.exchange, maxHeldBytes))
+	return err == nil
+}
+
 // forwardWhole reads a response into memory, and forwards it once it is complete.
 func (a *attempt) forwardWhole() {
 	body, err := io.ReadAll(io.LimitReader(a.responseBody, maxHeldBytes+1))
