daemon: an answer without framing whose engine has gone is not whole

What callers saw: a part of an answer of a plain service, or of an unstreamed chat that is not JSON, as the whole one, and the same part again for a call that must not repeat.

Cause: the kernel closes the sockets of a process that is killed without a reset if nothing was left unread. An answer with neither a length nor chunks ends in the same way.

Change: as in package upstream, such an end counts only if the engine accepts another connection. Otherwise the attempt is broken, and no outcome is recorded.

TestUnframedAnswerIsForwarded is unchanged.

--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -135,6 +135,5 @@
 // endedBeforeBody reports whether a success with neither a length nor chunks, which the end of its connection ends,
 // has ended after n = 0 bytes. That can't be told from a break.
 func endedBeforeBody(res *http.Response, n int) bool {
-	unframed := res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Request.Method != http.MethodHead
-	return n == 0 && unframed && res.StatusCode < http.StatusMultipleChoices
+	return n == 0 && unframed(res) && res.StatusCode < http.StatusMultipleChoices
 }
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -167,6 +167,7 @@
 		return wire.ResultBroken
 	}
 	x.progress()
+	confirmEnd(exchangeCtx, res, cmd.Target.Addr)
 	return receive(res, x)
 }
 
