daemon: a cache of an engine that has ended is not imported

What callers saw: nothing directly. The chat goes on at an engine that got a part of its KV cache.

Cause: an export with neither a length nor chunks ends with its connection, which the kernel also closes if the exporting process is killed. The part was imported as the whole cache. The answer to an import or an order was taken as whole in the same way.

Change: such an end of a response of the control interface counts only if the engine accepts another connection.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -237,5 +237,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return e.http.Do(req)
+	res, err := e.http.Do(req)
+	if err == nil {
+		confirmEnd(ctx, res, t.Addr)
+	}
+	return res, err
 }
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -115,3 +115,41 @@
 	require.Error(t, client.moveChatCache(t.Context(), core.MoveChat{From: startExporter(t, maxCacheBytes+1), To: target}))
 	require.EqualValues(t, maxCacheBytes, imported.Load())
 }
+
+// startEnding returns an engine that answers one request and ends as a kill does: the kernel closes the listener and then the
+// connection.
+func startEnding(t *testing.T, text string) core.Target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, text)
+		}
+		_ = l.Close()
+		_ = conn.Close()
+	}()
+	return core.Target{Engine: "ending", Addr: l.Addr().String()}
+}
+
+// Guards against a part of a cache that is imported as if it were whole, because the process of its engine ended while it was
+// exported, and against an import that such an engine has not confirmed to its end.
+func TestCacheOfAnEngineThatHasEndedIsNotImported(t *testing.T) {
+	var imports atomic.Int64
+	to := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { imports.Add(1) }))
+	defer to.Close()
+	const part = "HTTP/1.1 200 OK\r\n\r\npart"
+	client := newTestEngineClient(t)
+	target := core.Target{Engine: "to", Addr: to.Listener.Addr().String()}
+	require.ErrorIs(t, client.moveChatCache(t.Context(), core.MoveChat{From: startEnding(t, part), To: target}), errUnconfirmedEnd)
+	require.Zero(t, imports.Load())
+	require.ErrorIs(t, client.moveChatCache(t.Context(), core.MoveChat{From: startExporter(t, 10), To: startEnding(t, part)}), errUnconfirmedEnd)
+	whole := startControl(t, part, false)
+	require.NoError(t, client.moveChatCache(t.Context(), core.MoveChat{From: whole, To: target}))
+	require.EqualValues(t, 1, imports.Load())
+}
