gateway: ids of events that don't increase lose no events

What callers saw: a stream on a resumable route that ends as complete without some of its events, at worst empty, if their ids don't increase, an event names two ids, or an id is empty; after a break also an event twice.

Cause: events were left out whenever their id did not exceed the last one, so that a resumed stream repeats none, also in the first attempt. Of two ids the first counted, and an empty one took back nothing.

Change: only the first events of an attempt are left out, up to the first one beyond what the caller had when the attempt began. The last id of an event counts. After an empty id the stream is not resumed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,6 +61,8 @@
 	sentAt time.Duration
 	// resumeAfter is the id of the event after which the engine is to go on with the stream, or empty.
 	resumeAfter string
+	// deliveredTo is the id of the last event that the caller had before the attempt, until a later one has arrived, or empty.
+	deliveredTo string
 	exchange    *upstream.Exchange
 	// responseBody is the body of the response, of which a part may have been read.
 	responseBody io.Reader
@@ -87,7 +89,7 @@
 
 // newAttempt returns a new attempt. The caller holds turn.
 func (c *callerRequest) newAttempt(cmd router.Send) *attempt {
-	a := &attempt{callerRequest: c, cmd: cmd, sentAt: c.g.now(), result: router.AttemptEnded{Call: c.id, Engine: cmd.Engine.ID}}
+	a := &attempt{callerRequest: c, cmd: cmd, sentAt: c.g.now(), result: router.AttemptEnded{Call: c.id, Engine: cmd.Engine.ID}, deliveredTo: c.lastEvent}
 	a.ctx, a.cancel = c.callContext(cmd.Deadline)
 	if cmd.Resume || c.begun {
 		a.resumeAfter = c.lastEvent
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -160,7 +160,7 @@
 	return events, false
 }
 
-// skipDelivered removes events that the caller already has and records the id of the last event that
+// skipDelivered removes the first events of the attempt if the caller already has them, and records the id of the last event that
 // remains, or that it has none.
 func (a *attempt) skipDelivered(events []byte) []byte {
 	rest := events
@@ -168,11 +168,12 @@
 		end := firstEventEnd(rest)
 		id, ok := eventID(rest[:end])
 		switch {
-		case ok && idAtMost(id, a.lastEvent):
+		case ok && a.deliveredTo != "" && idAtMost(id, a.deliveredTo):
 			events = rest[end:]
-		case ok:
-			a.lastEvent, a.endsWithoutID = string(id), false
+		case ok && len(id) > 0:
+			a.lastEvent, a.endsWithoutID, a.deliveredTo = string(id), false, ""
 		case hasData(rest[:end]):
+			// An empty id takes back the one before.
 			a.endsWithoutID = true
 		}
 		rest = rest[end:]
@@ -223,14 +224,14 @@
 	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, append([]byte("\n"), dataField...))
 }
 
-// eventID returns the id of an event.
-func eventID(event []byte) ([]byte, bool) {
+// eventID returns the id of an event, of which the last one counts.
+func eventID(event []byte) (id []byte, ok bool) {
 	for _, line := range bytes.Split(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return bytes.TrimSpace(value), true
+		if value, isID := bytes.CutPrefix(line, idField); isID {
+			id, ok = bytes.TrimSpace(value), true
 		}
 	}
-	return nil, false
+	return id, ok
 }
 
 func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
