gateway: a stream that the end of a stop cuts off is reset for HTTP/1.0

What callers saw: callers that speak HTTP/1.0 got a part of a stream as the whole when the gateway stopped, or was killed, within it.

Cause: the end of the connection ends a response of HTTP/1.0, and only streams that the gateway itself broke off were reset.

Change: the connection of such a request ends with a reset until its response is complete, as at the daemon. Breaking a stream off needs no code of its own any more.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -87,6 +86,9 @@
 // CloseWrite closes the sending side.
 func (c *callerConn) CloseWrite() error { return httputil.CloseWrite(c.Conn) }
 
+// SetLinger sets the time for which a close waits for unsent bytes.
+func (c *callerConn) SetLinger(seconds int) error { return httputil.SetLinger(c.Conn, seconds) }
+
 // setActive records the connection's state. When a request arrives it removes the deadline of the idle
 // connection, which would otherwise end that request.
 func (c *callerConn) setActive(active bool) {
@@ -182,17 +184,9 @@
 	return t
 }
 
-// callerConnKey is the key of a request's connection in its context.
-type callerConnKey struct{}
-
-// withCallerConn makes the connection known to the handlers of its requests.
-func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
-}
-
 // callerConn returns the request's connection, or nil if it is not known.
 func (c *callerRequest) callerConn() *callerConn {
-	conn, _ := c.r.Context().Value(callerConnKey{}).(*callerConn)
+	conn, _ := httputil.ConnOf(c.r).(*callerConn)
 	return conn
 }
 
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -18,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bilberrywell/bilberrywell/fleet"
+	"github.com/bilberrywell/bilberrywell/internal/httputil"
 	"github.com/bilberrywell/bilberrywell/internal/router"
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
 	"github.com/bilberrywell/bilberrywell/versions"
@@ -75,7 +75,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &callerRequest{g: g, w: w, r: r, responseController: http.NewResponseController(w), callHead: g.protocol.ReadCall(r.Header)}
-	release := c.hold()
+	release, complete := c.hold(), httputil.ResetUnlessComplete(r)
 	c.lastEvent = c.callHead.LastEvent
 	c.target = requestTarget(r)
 	// The request counts from here on, so that a planned stop waits for its body too.
@@ -93,6 +93,7 @@
 		g.step(router.CallArrived{Call: call})
 		c.executeAll(commands)
 	}
+	complete()
 	release()
 }
 
@@ -286,26 +287,9 @@
 
 // abortConnection closes the connection, so that the caller sees that the response is incomplete.
 func (c *callerRequest) abortConnection() {
-	if !c.r.ProtoAtLeast(1, 1) {
-		c.resetConnection()
-	}
 	panic(http.ErrAbortHandler)
 }
 
-// resetConnection resets the connection, because HTTP/1.0 has no chunks: a close would end the body as complete.
-func (c *callerRequest) resetConnection() {
-	conn, _, err := c.responseController.Hijack()
-	if err != nil {
-		return
-	}
-	if wrapped, ok := conn.(*callerConn); ok {
-		if tcp, ok := wrapped.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-	}
-	_ = conn.Close()
-}
-
 // errorBody is the JSON body of the gateway's own error responses.
 type errorBody struct {
 	Error struct {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -68,7 +68,7 @@
 		ReadHeaderTimeout:            headerTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
-		ConnContext:                  withCallerConn,
+		ConnContext:                  httputil.WithConn,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if conn, ok := c.(*callerConn); ok {
 				conn.setActive(state == http.StateActive)
