--- /dev/null
+++ b/internal/httputil/peek_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package httputil
+
+import "errors"
+
+func peek(int) (Pending, error) { return Pending{}, errors.ErrUnsupported }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
@@ -56,6 +54,7 @@
 
 // Exchange is one request and its response.
 type Exchange struct {
+	ctx              context.Context
 	conn             *Conn
 	pool             *Pool
 	stopContextWatch func() bool
@@ -70,6 +69,9 @@
 	// Response is the header of the response. Read its body with Read.
 	Response *http.Response
 	bodyRead bool
+	// companion is nil without one. No other one is opened before nextCompanion.
+	companion     *companion
+	nextCompanion time.Time
 }
 
 // Owner tells whose response a response is.
@@ -91,7 +93,7 @@
 //
 // The error is ErrUnsent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, c *Conn, req *Request, ownerOf func(*http.Response) Owner) (*Exchange, error) {
-	x := &Exchange{conn: c, pool: p, idleShare: req.IdleShare, written: make(chan struct{})}
+	x := &Exchange{ctx: ctx, conn: c, pool: p, idleShare: req.IdleShare, written: make(chan struct{})}
 	x.openSides.Store(2)
 	x.stopContextWatch = context.AfterFunc(ctx, c.Close)
 	if ctx.Err() != nil {
@@ -210,34 +212,26 @@
 	return http.ReadResponse(c.reader, req)
 }
 
-// Read reads the response's body. It returns io.EOF only at the end of a complete body.
+// Read reads the response's body. It returns io.EOF only at the end of a complete body, and ErrUnmarkedEnd if the body ends with the
+// connection of an engine that has gone.
 func (x *Exchange) Read(b []byte) (int, error) {
+	unmarked := x.EndsWithConnection() && !x.bodyRead
+	if unmarked {
+		x.keepCompanion()
+	}
 	n, err := x.Response.Body.Read(b)
 	if err != io.EOF {
 		return n, err
 	}
-	if x.EndsWithConnection() && x.writeMetReset() {
-		return n, io.ErrUnexpectedEOF
+	if unmarked {
+		if err := x.confirmEnd(); err != nil {
+			return n, err
+		}
 	}
 	x.bodyRead = true
 	return n, io.EOF
 }
 
-// writeMetReset reports whether the end of the connection that was read stands for a reset or a timeout: the kernel
-// reports such an error once, and the write of the request may have met it. It ends the write.
-func (x *Exchange) writeMetReset() bool {
-	_ = x.conn.netConn.SetWriteDeadline(time.Now())
-	<-x.written
-	// EPIPE follows a reset after the engine has ended its side of the connection.
-	return x.writeErr != nil && !errors.Is(x.writeErr, os.ErrDeadlineExceeded) && !errors.Is(x.writeErr, syscall.EPIPE)
-}
-
-// EndsWithConnection reports whether the response has a body with neither a length nor chunks, so that the end of the
-// connection ends it. The response to a HEAD request ends with its head.
-func (x *Exchange) EndsWithConnection() bool {
-	return x.Response.Body != http.NoBody && x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
-}
-
 // SetReadTimeout bounds the time until the rest of the response has been read.
 func (x *Exchange) SetReadTimeout(d time.Duration) {
 	_ = x.conn.netConn.SetReadDeadline(time.Now().Add(d))
@@ -247,6 +241,7 @@
 // written completely, and the engine keeps the connection open too. Finish does not wait for a request
 // that is still being written.
 func (x *Exchange) Finish() {
+	x.dropCompanion()
 	reusable := x.bodyRead && !x.Response.Close && !x.EndsWithConnection()
 	// If the watch can no longer be stopped, the end of the context has closed the connection.
 	if !x.stopContextWatch() || !reusable {
@@ -260,6 +255,7 @@
 
 // Abort closes the connection.
 func (x *Exchange) Abort() {
+	x.dropCompanion()
 	x.stopContextWatch()
 	x.conn.Close()
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -156,7 +156,8 @@
 	head := &headLimit{source: conn}
 	_, singleUse := conn.(SingleUse)
 	return &Conn{
-		addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleLifetime: defaultIdleLifetime,
+		addr: addr, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes),
+		idleLifetime: defaultIdleLifetime, expires: time.Now().Add(defaultIdleLifetime),
 		singleUse: singleUse, generation: generation,
 	}, nil
 }
@@ -220,6 +221,19 @@
 // connections to the engine as share allows; see Request.IdleShare.
 func (p *Pool) Put(c *Conn, share float64) {
 	c.expires = time.Now().Add(c.idleLifetime)
+	p.add(c, share)
+}
+
+// giveBack adds a connection that has carried nothing since Get or Open returned it.
+func (p *Pool) giveBack(c *Conn, share float64) {
+	if !time.Now().Before(c.expires) || !c.openAndEmpty() {
+		c.Close()
+		return
+	}
+	p.add(c, share)
+}
+
+func (p *Pool) add(c *Conn, share float64) {
 	if c.singleUse || c.reader.Buffered() > 0 {
 		c.Close()
 		return
@@ -329,14 +343,14 @@
 // openAndEmpty reports whether an idle connection is open and has no bytes to read, since bytes that
 // arrive between exchanges belong to no request.
 func (c *Conn) openAndEmpty() bool {
-	_, err := httputil.Peek(c.netConn)
-	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
+	pending, err := httputil.Peek(c.netConn)
+	return err == nil && pending == httputil.Pending{} || errors.Is(err, errors.ErrUnsupported)
 }
 
-// Unread reports whether bytes have arrived that were not read from the connection. It may be called during an exchange.
-func (c *Conn) Unread() bool {
-	arrived, err := httputil.Peek(c.netConn)
-	return err == nil && arrived
+// AwaitsRead reports whether bytes, or the end of the connection, have arrived that were not read. It may be called during an exchange.
+func (c *Conn) AwaitsRead() bool {
+	pending, err := httputil.Peek(c.netConn)
+	return err == nil && pending != httputil.Pending{}
 }
 
 // setIdleLifetime sets idleLifetime from the timeout in the engine's Keep-Alive header.
