internal/relay: keep a response whose caller reads late

Cause: connections of the listener of the links have a TCP_USER_TIMEOUT of 2 s, which counts a full receive window too. A relay lost a response that its peer did not read for so long because its caller did not.

Change: relayed connections have 10 s, longer than the 5 s for which an instance waits for a caller.

Result: TestPeerThatReadsLate (4 s without a read): connection reset with 2 s, the whole response with 10 s.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
 )
 
 // bed is a relay, a dialer whose own path is cut off, and an engine.
@@ -42,7 +44,11 @@
 		Serves:     func(addr string) bool { return addr == b.addr() },
 		Dialer:     NewDialer(Config{Clock: clock(), Metrics: metrics.NewSet()}, 1),
 	}
-	b.http = httptest.NewServer(b.server)
+	config := upstream.ListenConfig()
+	relay, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b.http = &httptest.Server{Listener: relay, Config: &http.Server{Handler: b.server}}
+	b.http.Start()
 	b.dialer = NewDialer(Config{Dial: refuseDial, Secret: "secret", Clock: clock(), Metrics: metrics.NewSet()}, 1)
 	b.dialer.PeerUp("peer", b.relayAddr())
 	t.Cleanup(func() {
@@ -225,3 +231,19 @@
 	_, err = d.DialContext(ctx, "tcp", "127.0.0.1:1")
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// Guards against a response that is lost because its caller reads nothing for longer than a dead connection is kept.
+func TestPeerThatReadsLate(t *testing.T) {
+	b := newBed(t)
+	peer, engine := b.connect()
+	response := strings.Repeat("response ", 2_000_000)
+	go func() {
+		_, _ = io.WriteString(engine, response)
+		_ = engine.Close()
+	}()
+	// The kernel's timeout of the listener's connections is 2 s.
+	time.Sleep(4 * time.Second)
+	all, err := io.ReadAll(peer)
+	require.NoError(t, err)
+	require.Equal(t, len(response), len(all))
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
 )
 
 const (
@@ -17,7 +19,10 @@
 	// maxRelayed bounds the connections that an instance relays. Each has two descriptors and 12 KB of buffers.
 	maxRelayed = 512
 	// closeTimeout bounds how long one side stays open after the other side has been closed.
-	closeTimeout    = time.Second
+	closeTimeout = time.Second
+	// peerTimeout is how long a peer may take no bytes: longer than the 5 s for which an instance waits for a caller that
+	// does not read.
+	peerTimeout     = 10 * time.Second
 	requestBufBytes = 4 << 10
 )
 
@@ -109,6 +114,9 @@
 	}
 	defer s.remove(p)
 	_ = p.peer.SetDeadline(time.Time{})
+	if raw, err := p.peer.SyscallConn(); err == nil {
+		_ = upstream.SetUserTimeout(raw, peerTimeout)
+	}
 	if _, err := p.peer.Write([]byte(accepted)); err != nil {
 		p.reset()
 		return
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -71,10 +71,13 @@
 
 // setUserTimeout sets the time for which data may stay unacknowledged. More means that the path is interrupted. The
 // connections of a listener inherit it.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func setUserTimeout(_, _ string, c syscall.RawConn) error { return SetUserTimeout(c, 2*time.Second) }
+
+// SetUserTimeout sets the time after which a connection fails if data stays unacknowledged, or the other side takes none.
+func SetUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var optionErr error
 	err := c.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int((2 * time.Second).Milliseconds()))
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
 	})
 	return errors.Join(err, optionErr)
 }
