daemon: the end of a response without framing is confirmed as at the gateway

Cause: the listener of a process that is about to end still takes the connection that confirms the end of its response.

--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrywell/bilberrywell/internal/core"
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
 )
 
 func newTestEngineClient(t *testing.T) *engineClient {
@@ -146,9 +147,9 @@
 	const part = "HTTP/1.1 200 OK\r\n\r\npart"
 	client := newTestEngineClient(t)
 	target := core.Target{Engine: "to", Addr: to.Listener.Addr().String()}
-	require.ErrorIs(t, client.moveChatCache(t.Context(), core.MoveChat{From: startEnding(t, part), To: target}), errUnconfirmedEnd)
+	require.ErrorIs(t, client.moveChatCache(t.Context(), core.MoveChat{From: startEnding(t, part), To: target}), upstream.ErrUnmarkedEnd)
 	require.Zero(t, imports.Load())
-	require.ErrorIs(t, client.moveChatCache(t.Context(), core.MoveChat{From: startExporter(t, 10), To: startEnding(t, part)}), errUnconfirmedEnd)
+	require.ErrorIs(t, client.moveChatCache(t.Context(), core.MoveChat{From: startExporter(t, 10), To: startEnding(t, part)}), upstream.ErrUnmarkedEnd)
 	whole := startControl(t, part, false)
 	require.NoError(t, client.moveChatCache(t.Context(), core.MoveChat{From: whole, To: target}))
 	require.EqualValues(t, 1, imports.Load())
--- a/internal/daemon/unframed.go
+++ b/internal/daemon/unframed.go
@@ -2,22 +2,20 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
-)
 
-// errUnconfirmedEnd reports a body with neither a length nor chunks that has ended with its connection, and an engine that accepts
-// no other one.
-var errUnconfirmedEnd = errors.New("daemon: the response ended with its connection, and the engine accepts no other one")
+	"github.com/bilberrywell/bilberrywell/internal/upstream"
+)
 
 // unframed reports whether a response has a body with neither a length nor chunks, which the end of its connection ends.
 func unframed(res *http.Response) bool {
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Request.Method != http.MethodHead
 }
 
-// confirmEnd makes the end of an unframed body count only if the engine at addr accepts another connection. The kernel closes the
+// confirmEnd makes the end of an unframed body count only if the engine at addr accepts another connection that lasts. The kernel closes the
 // sockets of a process that is killed as the process would at the end of the body.
 func confirmEnd(ctx context.Context, res *http.Response, addr string) {
 	if unframed(res) {
@@ -46,12 +44,15 @@
 	return n, err
 }
 
-// confirm returns io.EOF or errUnconfirmedEnd.
+// confirm returns io.EOF or upstream.ErrUnmarkedEnd.
 func (b *unframedBody) confirm() error {
-	conn, err := dial(b.ctx, "tcp", b.addr)
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(b.ctx, "tcp", b.addr)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errUnconfirmedEnd, err)
+		return fmt.Errorf("%w: %w", upstream.ErrUnmarkedEnd, err)
+	}
+	defer func() { _ = conn.Close() }()
+	if !upstream.Lasts(b.ctx, conn) {
+		return upstream.ErrUnmarkedEnd
 	}
-	_ = conn.Close()
 	return io.EOF
 }
--- a/internal/upstream/ending.go
+++ b/internal/upstream/ending.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"syscall"
@@ -57,17 +59,22 @@
 		}
 	}
 	defer x.pool.giveBack(conn, x.idleShare)
+	if !Lasts(x.ctx, conn.netConn) {
+		return ErrUnmarkedEnd
+	}
+	return nil
+}
+
+// Lasts reports whether a connection stays open for as long as a process that ends may take to close it, or until ctx ends. A listener's
+// queue takes connections until the process closes it, which resets them.
+func Lasts(ctx context.Context, conn net.Conn) bool {
 	timer := time.NewTimer(exitTime)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-x.ctx.Done():
-	}
-	// A listener's queue takes connections until the process closes it, which resets them.
-	if !conn.openAndEmpty() {
-		return ErrUnmarkedEnd
+	case <-ctx.Done():
 	}
-	return nil
+	return openAndEmpty(conn)
 }
 
 // writeMetReset reports whether the end of the connection that was read stands for a reset or a timeout: the kernel
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -315,8 +315,10 @@
 
 // openAndEmpty reports whether an idle connection is open and has no bytes to read, since bytes that
 // arrive between exchanges belong to no request.
-func (c *Conn) openAndEmpty() bool {
-	pending, err := httputil.Peek(c.netConn)
+func (c *Conn) openAndEmpty() bool { return openAndEmpty(c.netConn) }
+
+func openAndEmpty(conn net.Conn) bool {
+	pending, err := httputil.Peek(conn)
 	return err == nil && pending == httputil.Pending{} || errors.Is(err, errors.ErrUnsupported)
 }
 
