daemon: an answer without framing is not whole if its engine's connections end in another order

What callers saw: as before, a part of an answer without length or chunks as the whole one, if the kernel closed the connection before the listener of the process that ended.

Cause: the listener still took the connection that confirms the end, in its queue or by the process.

An engine that another process replaces at its address before the end is noticed is still taken for the same one.

--- a/internal/daemon/unframed_test.go
+++ b/internal/daemon/unframed_test.go
@@ -101,15 +101,19 @@
 	require.Zero(t, whole, "of 10 answers")
 }
 
-// answerAndEnd answers with neither a length nor chunks and ends the engine as a kill does: the kernel closes the listener and then
-// the connection.
-func answerAndEnd(contentType, body string) http.Handler {
+// answerAndEnd answers with neither a length nor chunks and ends the engine as a kill does: the kernel closes the listener and the
+// connection, which may come first.
+func answerAndEnd(body string, connFirst bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"+body)
+		if connFirst {
+			_ = conn.Close()
+			time.Sleep(10 * time.Millisecond)
+		}
 		_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
 		_ = conn.Close()
 	})
@@ -125,27 +129,29 @@
 		"order":           {http.MethodPost, "/v1/services/orders/orders", "{}"},
 		"unstreamed chat": {http.MethodPost, "/v1/chat/completions", strings.Replace(chatBody, "true", "false", 1)},
 	} {
-		t.Run(name, func(t *testing.T) {
-			engine := httptest.NewServer(answerAndEnd("text/plain", "part"))
-			defer engine.Close()
-			f := fleettest.Start(t, fleettest.Options{
-				Instances: 1, ServiceHandler: answerAndEnd("text/plain", "part"), EngineAddrs: []string{engine.Listener.Addr().String()},
-			})
-			for range 2 {
-				r, err := http.NewRequest(c.method, "http://"+f.Nodes[0].Settings.CallerAddr+c.path, strings.NewReader(c.body))
-				require.NoError(t, err)
-				r.Header.Set("Authorization", "Bearer "+fleettest.APIKey)
-				r.Header.Set("Idempotency-Key", "k")
-				response, err := http.DefaultTransport.RoundTrip(r)
-				if err != nil {
-					continue
-				}
-				body, err := io.ReadAll(response.Body)
-				require.NoError(t, response.Body.Close())
-				if err == nil {
-					require.NotEqual(t, http.StatusOK, response.StatusCode, "%q", body)
+		for order, connFirst := range map[string]bool{", listener closed first": false, ", connection closed first": true} {
+			t.Run(name+order, func(t *testing.T) {
+				engine := httptest.NewServer(answerAndEnd("part", connFirst))
+				defer engine.Close()
+				f := fleettest.Start(t, fleettest.Options{
+					Instances: 1, ServiceHandler: answerAndEnd("part", connFirst), EngineAddrs: []string{engine.Listener.Addr().String()},
+				})
+				for range 2 {
+					r, err := http.NewRequest(c.method, "http://"+f.Nodes[0].Settings.CallerAddr+c.path, strings.NewReader(c.body))
+					require.NoError(t, err)
+					r.Header.Set("Authorization", "Bearer "+fleettest.APIKey)
+					r.Header.Set("Idempotency-Key", "k")
+					response, err := http.DefaultTransport.RoundTrip(r)
+					if err != nil {
+						continue
+					}
+					body, err := io.ReadAll(response.Body)
+					require.NoError(t, response.Body.Close())
+					if err == nil {
+						require.NotEqual(t, http.StatusOK, response.StatusCode, "%q", body)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
