upstream: an engine that closes idle connections has not ended

Cause: an engine may close the companion of a response as an idle connection while the response pauses before its end. The whole response then counted as broken.

Change: the companion is watched. If it ends while the response goes on, it says nothing, and another one follows.

--- a/internal/upstream/companion.go
+++ b/internal/upstream/companion.go
@@ -1,6 +1,9 @@
 package upstream
 
 import (
+	"errors"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
@@ -12,47 +15,89 @@
 // companion is a second connection to the engine of a response without length or chunks, opened while that goes on. It ends with the engine's
 // process, and shows its end also if another process has the address by the time at which the end of the response is noticed.
 type companion struct {
-	// dialed is closed once the connection was opened, or could not be.
-	dialed chan struct{}
-	// conn is nil if it could not be opened. within reports whether the response had not ended when it was open.
-	conn   *Conn
-	within bool
+	mu      sync.Mutex
+	stopped bool
+	// conn is nil until it was opened, and once it has ended. done is closed when it is no longer watched.
+	conn *Conn
+	done chan struct{}
+	// processEnded is set if the connection has ended with the response.
+	processEnded bool
 }
 
-// keepCompanion opens a companion if the response goes on without one. An engine may close it as an idle connection: if there is more of
-// the response afterwards, its process goes on.
+// keepCompanion opens a companion if the response goes on without one.
 func (x *Exchange) keepCompanion() {
-	now := time.Now()
-	if now.Before(x.nextCompanion) || x.companion != nil && !x.companion.lost() {
-		return
+	if now := time.Now(); !now.Before(x.nextCompanion) && (x.companion == nil || x.companion.over()) && !x.connEnded() {
+		x.nextCompanion = now.Add(companionInterval)
+		x.companion = &companion{done: make(chan struct{})}
+		go x.watchCompanion(x.companion)
 	}
-	if pending, err := httputil.Peek(x.conn.netConn); err != nil || pending.End {
-		return
+}
+
+// over reports whether the companion could not be opened or has ended.
+func (c *companion) over() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
 	}
-	x.dropCompanion()
-	x.nextCompanion = now.Add(companionInterval)
-	x.companion = &companion{dialed: make(chan struct{})}
-	go x.open(x.companion)
 }
 
-func (x *Exchange) open(c *companion) {
-	defer close(c.dialed)
+// connEnded reports whether the connection of the response has ended, or that can't be told. Some of the response may be unread.
+func (x *Exchange) connEnded() bool {
+	pending, err := httputil.Peek(x.conn.netConn)
+	return err != nil || pending.End
+}
+
+// watchCompanion opens a companion and waits for its end. An engine may close it as an idle connection while the response goes on.
+func (x *Exchange) watchCompanion(c *companion) {
+	defer close(c.done)
 	conn, err := x.pool.Get(x.ctx, x.conn.addr)
 	if err != nil {
 		return
 	}
-	pending, err := httputil.Peek(x.conn.netConn)
-	c.conn, c.within = conn, err == nil && !pending.End
+	if x.connEnded() {
+		x.pool.giveBack(conn, x.idleShare)
+		return
+	}
+	if c.watch(conn) {
+		return
+	}
+	timer := time.NewTimer(exitTime)
+	defer timer.Stop()
+	<-timer.C
+	c.processEnded = x.connEnded()
 }
 
-// lost reports whether the connection could not be opened, or has ended.
-func (c *companion) lost() bool {
-	select {
-	case <-c.dialed:
-		return c.conn == nil || !c.conn.openAndEmpty()
-	default:
-		return false
+// watch waits until the connection ends, and returns false, or stop is called.
+func (c *companion) watch(conn *Conn) bool {
+	c.mu.Lock()
+	stopped := c.stopped
+	c.conn = conn
+	c.mu.Unlock()
+	if stopped {
+		return true
+	}
+	if _, err := conn.netConn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+		return conn.netConn.SetReadDeadline(time.Time{}) == nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = nil
+	conn.Close()
+	return false
+}
+
+// stop ends the watch. It returns the connection, or nil without one.
+func (c *companion) stop() *Conn {
+	c.mu.Lock()
+	c.stopped = true
+	if c.conn != nil {
+		_ = c.conn.netConn.SetReadDeadline(time.Now())
 	}
+	c.mu.Unlock()
+	<-c.done
+	return c.conn
 }
 
 // dropCompanion returns the companion to the pool.
@@ -63,22 +108,8 @@
 	}
 	x.companion = nil
 	go func() {
-		<-c.dialed
-		if c.conn != nil {
-			x.pool.giveBack(c.conn, x.idleShare)
+		if conn := c.stop(); conn != nil {
+			x.pool.giveBack(conn, x.idleShare)
 		}
 	}()
 }
-
-// takeCompanion returns the connection of a companion that was opened while the response went on, or nil without one.
-func (x *Exchange) takeCompanion() *Conn {
-	c := x.companion
-	if c == nil {
-		return nil
-	}
-	if <-c.dialed; !c.within {
-		return nil
-	}
-	x.companion = nil
-	return c.conn
-}
--- a/internal/upstream/ending.go
+++ b/internal/upstream/ending.go
@@ -51,30 +51,60 @@
 	if x.writeMetReset() {
 		return io.ErrUnexpectedEOF
 	}
-	conn := x.takeCompanion()
-	if conn == nil {
-		var err error
-		if conn, err = x.pool.Open(x.ctx, x.conn.addr); err != nil {
-			return fmt.Errorf("%w: %w", ErrUnmarkedEnd, err)
-		}
+	conn, err := x.takeCompanion()
+	if conn == nil && err == nil {
+		conn, err = x.openLasting()
 	}
-	defer x.pool.giveBack(conn, x.idleShare)
-	if !Lasts(x.ctx, conn.netConn) {
-		return ErrUnmarkedEnd
+	if err != nil {
+		return err
 	}
+	x.pool.giveBack(conn, x.idleShare)
 	return nil
 }
 
+// takeCompanion returns the connection of the companion once it has outlasted the end of the response, nil without one, or ErrUnmarkedEnd.
+func (x *Exchange) takeCompanion() (*Conn, error) {
+	c := x.companion
+	if c == nil {
+		return nil, nil
+	}
+	x.companion = nil
+	awaitExit(x.ctx)
+	conn := c.stop()
+	if c.processEnded || conn != nil && !conn.openAndEmpty() {
+		return nil, ErrUnmarkedEnd
+	}
+	return conn, nil
+}
+
+// openLasting opens a connection to the engine and returns it if it lasts, or ErrUnmarkedEnd.
+func (x *Exchange) openLasting() (*Conn, error) {
+	conn, err := x.pool.Open(x.ctx, x.conn.addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnmarkedEnd, err)
+	}
+	if !Lasts(x.ctx, conn.netConn) {
+		conn.Close()
+		return nil, ErrUnmarkedEnd
+	}
+	return conn, nil
+}
+
 // Lasts reports whether a connection stays open for as long as a process that ends may take to close it, or until ctx ends. A listener's
 // queue takes connections until the process closes it, which resets them.
 func Lasts(ctx context.Context, conn net.Conn) bool {
+	awaitExit(ctx)
+	return openAndEmpty(conn)
+}
+
+// awaitExit waits for exitTime, or until ctx ends.
+func awaitExit(ctx context.Context) {
 	timer := time.NewTimer(exitTime)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return openAndEmpty(conn)
 }
 
 // writeMetReset reports whether the end of the connection that was read stands for a reset or a timeout: the kernel
