upstream: an end that is noticed late needs a companion

Beside it, an end counted as confirmed when the request's time was over before it could be.

Cause: without a companion the end was confirmed by a connection that is opened afterwards, whoever accepts it, and a wait that ctx cut short confirmed it too.

Change: the first part of such a response waits for its companion, a round trip. If there was none because the response had ended, and its last segment came 100 ms or longer before, the end is not confirmed. A connection that opens after the end takes the place of the one that was opened to confirm it, so that a short response takes one connection. Companions are renewed when their idle time is over. The end of ctx confirms nothing. Dials begin at once.

--- a/internal/daemon/unframed.go
+++ b/internal/daemon/unframed.go
@@ -44,15 +44,15 @@
 	return n, err
 }
 
-// confirm returns io.EOF or upstream.ErrUnmarkedEnd.
+// confirm returns io.EOF, or an error unless the end is confirmed.
 func (b *unframedBody) confirm() error {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(b.ctx, "tcp", b.addr)
 	if err != nil {
 		return fmt.Errorf("%w: %w", upstream.ErrUnmarkedEnd, err)
 	}
 	defer func() { _ = conn.Close() }()
-	if !upstream.Lasts(b.ctx, conn) {
-		return upstream.ErrUnmarkedEnd
+	if err := upstream.AwaitLasting(b.ctx, conn); err != nil {
+		return err
 	}
 	return io.EOF
 }
--- a/internal/httputil/peek_other.go
+++ b/internal/httputil/peek_other.go
@@ -2,6 +2,11 @@
 
 package httputil
 
-import "errors"
+import (
+	"errors"
+	"time"
+)
 
 func peek(int) (Pending, error) { return Pending{}, errors.ErrUnsupported }
+
+func sinceLastSegment(int) (time.Duration, error) { return 0, errors.ErrUnsupported }
--- a/internal/httputil/peek_test.go
+++ b/internal/httputil/peek_test.go
@@ -73,3 +73,18 @@
 		require.ErrorIs(t, err, syscall.ECONNRESET)
 	}
 }
+
+// Guards against an end that has waited to be read and counts as new.
+func TestSinceLastSegment(t *testing.T) {
+	sender, conn := connPair(t)
+	require.NoError(t, sender.Close())
+	awaitPending(t, conn, Pending{End: true})
+	require.Eventually(t, func() bool {
+		since, err := SinceLastSegment(conn)
+		return err == nil && since >= 20*time.Millisecond
+	}, 5*time.Second, time.Millisecond)
+	client, server := net.Pipe()
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	_, err := SinceLastSegment(client)
+	require.ErrorIs(t, err, errors.ErrUnsupported)
+}
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -134,11 +134,15 @@
 
 // run starts the steps one after the other and returns the first connection.
 func (c *dial) run(ctx, stepCtx context.Context) (net.Conn, error) {
-	next := time.NewTimer(0)
+	next := time.NewTimer(time.Hour)
 	defer next.Stop()
 	defer c.abandon()
 	begin := c.config.Clock()
+	c.start(stepCtx)
 	for {
+		if len(c.started) < len(c.steps) {
+			next.Reset(max(0, begin+c.steps[len(c.started)].After-c.config.Clock()))
+		}
 		select {
 		case <-next.C:
 			c.start(stepCtx)
@@ -156,12 +160,9 @@
 		case <-ctx.Done():
 			return nil, errors.Join(append(c.errs, ctx.Err())...)
 		}
-		if c.pending == 0 && len(c.started) > 0 && len(c.started) == len(c.steps) {
+		if c.pending == 0 && len(c.started) == len(c.steps) {
 			return nil, errors.Join(c.errs...)
 		}
-		if len(c.started) < len(c.steps) {
-			next.Reset(max(0, begin+c.steps[len(c.started)].After-c.config.Clock()))
-		}
 	}
 }
 
--- a/internal/upstream/companion.go
+++ b/internal/upstream/companion.go
@@ -9,38 +9,77 @@
 	"github.com/bilberrywell/bilberrywell/internal/httputil"
 )
 
-// companionInterval is the shortest time between two companions of one response.
-const companionInterval = time.Second
+const (
+	// companionInterval is the shortest time between two companions of one response.
+	companionInterval = time.Second
+	// restartTime is the shortest time in which an engine's process is replaced by another one at its address.
+	restartTime = 100 * time.Millisecond
+	// companionWait bounds the wait of the first part of a response for its companion, which takes a round trip.
+	companionWait = 50 * time.Millisecond
+)
 
 // companion is a second connection to the engine of a response without length or chunks, opened while that goes on. It ends with the engine's
 // process, and shows its end also if another process has the address by the time at which the end of the response is noticed.
 type companion struct {
 	mu      sync.Mutex
 	stopped bool
-	// conn is nil until it was opened, and once it has ended. done is closed when it is no longer watched.
-	conn *Conn
-	done chan struct{}
-	// processEnded is set if the connection has ended with the response.
-	processEnded bool
+	// conn is nil until it was opened, and once it has ended. opened is closed once it was opened, or could not be, done when it is not
+	// watched any more.
+	conn         *Conn
+	opened, done chan struct{}
+	// processEnded is set if the connection has ended with the response, and lateEnd if it was opened so long after the end that it
+	// may be that of another process.
+	processEnded, lateEnd bool
 }
 
 // keepCompanion opens a companion if the response goes on without one.
 func (x *Exchange) keepCompanion() {
-	if now := time.Now(); !now.Before(x.nextCompanion) && (x.companion == nil || x.companion.over()) && !x.connEnded() {
-		x.nextCompanion = now.Add(companionInterval)
-		x.companion = &companion{done: make(chan struct{})}
+	now := time.Now()
+	if now.Before(x.nextCompanion) || x.companion != nil && x.companion.serves(now) {
+		return
+	}
+	first := x.nextCompanion.IsZero()
+	x.nextCompanion = now.Add(companionInterval)
+	switch {
+	case !x.connEnded():
+		x.dropCompanion()
+		x.companion = &companion{opened: make(chan struct{}), done: make(chan struct{})}
 		go x.watchCompanion(x.companion)
+		if first {
+			x.companion.awaitOpen()
+		}
+	case first:
+		x.lateEnd = x.endedLongAgo()
+	}
+}
+
+// awaitOpen waits until the companion is open, for companionWait at most. A caller that has received a part of the response then can't see
+// its end without a companion, wherever this process stands still.
+func (c *companion) awaitOpen() {
+	timer := time.NewTimer(companionWait)
+	defer timer.Stop()
+	select {
+	case <-c.opened:
+	case <-timer.C:
 	}
 }
 
-// over reports whether the companion could not be opened or has ended.
-func (c *companion) over() bool {
+// endedLongAgo reports, of a response that has ended, whether another process may have the engine's address since.
+func (x *Exchange) endedLongAgo() bool {
+	since, err := httputil.SinceLastSegment(x.conn.netConn)
+	return err == nil && since >= restartTime
+}
+
+// serves reports whether the companion is being opened, or is open and will not be closed as an idle connection soon.
+func (c *companion) serves(now time.Time) bool {
 	select {
 	case <-c.done:
-		return true
-	default:
 		return false
+	default:
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn == nil || now.Before(c.conn.expires)
 }
 
 // connEnded reports whether the connection of the response has ended, or that can't be told. Some of the response may be unread.
@@ -53,14 +92,17 @@
 func (x *Exchange) watchCompanion(c *companion) {
 	defer close(c.done)
 	conn, err := x.pool.Get(x.ctx, x.conn.addr)
-	if err != nil {
-		return
-	}
-	if x.connEnded() {
-		x.pool.giveBack(conn, x.idleShare)
+	c.mu.Lock()
+	c.conn = conn
+	stopped := c.stopped
+	c.mu.Unlock()
+	ended := x.connEnded()
+	c.lateEnd = ended && x.endedLongAgo()
+	close(c.opened)
+	if ended {
 		return
 	}
-	if c.watch(conn) {
+	if err != nil || stopped || c.watch(conn) {
 		return
 	}
 	timer := time.NewTimer(exitTime)
@@ -71,15 +113,8 @@
 
 // watch waits until the connection ends, and returns false, or stop is called.
 func (c *companion) watch(conn *Conn) bool {
-	c.mu.Lock()
-	stopped := c.stopped
-	c.conn = conn
-	c.mu.Unlock()
-	if stopped {
-		return true
-	}
 	if _, err := conn.netConn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
-		return conn.netConn.SetReadDeadline(time.Time{}) == nil
+		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -97,6 +132,9 @@
 	}
 	c.mu.Unlock()
 	<-c.done
+	if c.conn != nil {
+		_ = c.conn.netConn.SetReadDeadline(time.Time{})
+	}
 	return c.conn
 }
 
--- a/internal/upstream/ending.go
+++ b/internal/upstream/ending.go
@@ -65,16 +65,22 @@
 // takeCompanion returns the connection of the companion once it has outlasted the end of the response, nil without one, or ErrUnmarkedEnd.
 func (x *Exchange) takeCompanion() (*Conn, error) {
 	c := x.companion
-	if c == nil {
+	switch {
+	case x.lateEnd:
+		return nil, ErrUnmarkedEnd
+	case c == nil:
 		return nil, nil
 	}
 	x.companion = nil
-	awaitExit(x.ctx)
+	err := awaitExit(x.ctx)
 	conn := c.stop()
-	if c.processEnded || conn != nil && !conn.openAndEmpty() {
-		return nil, ErrUnmarkedEnd
+	if err == nil && (c.processEnded || c.lateEnd || conn != nil && !conn.openAndEmpty()) {
+		err = ErrUnmarkedEnd
 	}
-	return conn, nil
+	if err != nil && conn != nil {
+		conn.Close()
+	}
+	return conn, err
 }
 
 // openLasting opens a connection to the engine and returns it if it lasts, or ErrUnmarkedEnd.
@@ -83,27 +89,34 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnmarkedEnd, err)
 	}
-	if !Lasts(x.ctx, conn.netConn) {
+	if err := AwaitLasting(x.ctx, conn.netConn); err != nil {
 		conn.Close()
-		return nil, ErrUnmarkedEnd
+		return nil, err
 	}
 	return conn, nil
 }
 
-// Lasts reports whether a connection stays open for as long as a process that ends may take to close it, or until ctx ends. A listener's
-// queue takes connections until the process closes it, which resets them.
-func Lasts(ctx context.Context, conn net.Conn) bool {
-	awaitExit(ctx)
-	return openAndEmpty(conn)
+// AwaitLasting waits for as long as a process that ends may take to close a connection. It returns nil if the connection is open then, or
+// ErrUnmarkedEnd. A listener's queue takes connections until the process closes it, which resets them.
+func AwaitLasting(ctx context.Context, conn net.Conn) error {
+	if err := awaitExit(ctx); err != nil {
+		return err
+	}
+	if !openAndEmpty(conn) {
+		return ErrUnmarkedEnd
+	}
+	return nil
 }
 
-// awaitExit waits for exitTime, or until ctx ends.
-func awaitExit(ctx context.Context) {
+// awaitExit waits for exitTime. It returns the error of ctx if that ends before.
+func awaitExit(ctx context.Context) error {
 	timer := time.NewTimer(exitTime)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return nil
 	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
--- a/internal/upstream/ending_test.go
+++ b/internal/upstream/ending_test.go
@@ -123,3 +123,24 @@
 	_, err = io.ReadAll(x)
 	require.ErrorIs(t, err, upstream.ErrUnmarkedEnd)
 }
+
+// Guards against an end that counts as confirmed because the request's time is over before it could be.
+func TestEndIsNotConfirmedByTheEndOfTheRequest(t *testing.T) {
+	addr := startEngine(t, func(conn net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n"+unmarkedEvents)
+		}
+	})
+	p := upstream.NewPool(nil)
+	t.Cleanup(p.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	x, err := p.Do(ctx, getConn(ctx, t, p, addr), &upstream.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}}, ownerByID)
+	require.NoError(t, err)
+	t.Cleanup(x.Abort)
+	_, err = io.ReadFull(x, make([]byte, len(unmarkedEvents)))
+	require.NoError(t, err)
+	cancel()
+	_, err = io.ReadAll(x)
+	require.Error(t, err)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -69,9 +69,11 @@
 	// Response is the header of the response. Read its body with Read.
 	Response *http.Response
 	bodyRead bool
-	// companion is nil without one. No other one is opened before nextCompanion.
+	// companion is nil without one. No other one is opened before nextCompanion. lateEnd is set if there was none because the response
+	// had ended long before it was read.
 	companion     *companion
 	nextCompanion time.Time
+	lateEnd       bool
 }
 
 // Owner tells whose response a response is.
