gateway: a silent stream is not replaced by one without a further event

What callers saw: a stream that ends as complete, in chunks, or is cut, before its last event, although its engine would have gone on.

Cause: the response of the engine beside a silent one counted as begun at a comment or at an event that the caller has, and an empty one, which ends in chunks, as the end of the stream. The silent engine was then stopped.

Change: it begins with an event that the caller does not have. While the silent attempt goes on, a response without one has failed.

--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -85,8 +85,9 @@
 	return true
 }
 
-// receiveStart reads the response up to what is forwarded first: an event of a stream, or all that is held of another
-// response. One that breaks off before that does not end the silent attempt.
+// receiveStart reads the response up to what is forwarded first: an event of a stream that the caller does not have, or all that is held of
+// another response. One that breaks off before that does not end the silent attempt, nor does one that ends without an event: the silent
+// engine may have more of them.
 func (a *attempt) receiveStart() error {
 	var start []byte
 	buffer := make([]byte, copyBufferBytes)
@@ -95,11 +96,11 @@
 		start = append(start, buffer[:n]...)
 		a.responseBody = io.MultiReader(bytes.NewReader(start), a.exchange)
 		switch {
-		case a.isStream() && lastEventEnd(start) > 0, !a.isStream() && len(start) > maxHeldBytes:
+		case a.isStream() && a.hasNewEvent(start), !a.isStream() && len(start) > maxHeldBytes:
 			return nil
-		case err == io.EOF && a.isStream() && len(start) > 0:
+		case err == io.EOF && a.isStream() && len(start) > lastEventEnd(start):
 			return errTruncatedEvent
-		case err == io.EOF && a.isStream() && a.exchange.EndsWithConnection():
+		case err == io.EOF && a.isStream() && (a.exchange.EndsWithConnection() || a.isBeside()):
 			return errNoEvent
 		case err == io.EOF && a.endsWithoutBody(len(start)):
 			return errNoBody
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -181,6 +181,20 @@
 	return events
 }
 
+// hasNewEvent reports whether data, the start of the attempt's stream, has a complete event that the caller does not have.
+func (a *attempt) hasNewEvent(data []byte) bool {
+	for rest := data[:lastEventEnd(data)]; len(rest) > 0; {
+		end := firstEventEnd(rest)
+		id, ok := eventID(rest[:end])
+		delivered := a.cmd.Route.Resumable && ok && a.deliveredTo != "" && idAtMost(id, a.deliveredTo)
+		if hasData(rest[:end]) && !delivered {
+			return true
+		}
+		rest = rest[end:]
+	}
+	return false
+}
+
 // idAtMost reports whether both ids are numeric and id is at most last.
 func idAtMost(id []byte, last string) bool {
 	a, errA := strconv.ParseInt(string(id), 10, 64)
