internal/relay: a reset that a write has met is no orderly end

What callers saw: a part of a response as the whole, if the engine was reached through a peer and reset the connection while a long request was written.

Cause: the kernel reports a reset once. The relay's write to the engine took it, and its read found an orderly end, which the relay passed on.

Change: at the end of the engine's connection the relay ends the write and looks at its error, as package upstream does.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/bilberrywell/bilberrywell/internal/upstream"
@@ -46,6 +48,10 @@
 // pair is a relayed connection.
 type pair struct {
 	peer, engine *net.TCPConn
+
+	// writing is held during a write to the engine. writeErr is the error of the last one.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // ServeHTTP accepts a connection. It answers 502 if the engine can't be reached, 503 if the instance can't tell, and 403
@@ -178,7 +184,7 @@
 	buffer := make([]byte, requestBufBytes)
 	for {
 		n, err := p.peer.Read(buffer)
-		if _, writeErr := p.engine.Write(buffer[:n]); writeErr != nil {
+		if p.writeToEngine(buffer[:n]) != nil {
 			// The engine does not read. What it has answered decides how the connection ends.
 			_, _ = io.Copy(io.Discard, struct{ io.Reader }{p.peer})
 			return
@@ -205,6 +211,10 @@
 			p.reset()
 			return
 		}
+		if err == io.EOF && p.writeMetReset() {
+			p.reset()
+			return
+		}
 		if err == io.EOF {
 			p.writeFrame(buffer, 0)
 			_ = p.peer.CloseWrite()
@@ -218,6 +228,23 @@
 	}
 }
 
+func (p *pair) writeToEngine(b []byte) error {
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	_, p.writeErr = p.engine.Write(b)
+	return p.writeErr
+}
+
+// writeMetReset reports, at the end of the engine's connection, whether that stands for an error that a write has met: the kernel reports it
+// once. It ends the write.
+func (p *pair) writeMetReset() bool {
+	_ = p.engine.SetWriteDeadline(time.Now())
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	// EPIPE follows a reset after the engine has ended its side of the connection.
+	return p.writeErr != nil && !errors.Is(p.writeErr, os.ErrDeadlineExceeded) && !errors.Is(p.writeErr, syscall.EPIPE)
+}
+
 func (p *pair) writeFrame(buffer []byte, n int) bool {
 	binary.BigEndian.PutUint32(buffer, uint32(n))
 	_, err := p.peer.Write(buffer[:frameHeaderBytes+n])
